--- /dev/null
+++ b/src/load/latency_histogram.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <memory>
+
+namespace carawaypoint
+{
+
+/// Times from 0.1 ms to 1000 s with a relative error of 2%.
+class LatencyHistogram
+{
+public:
+    LatencyHistogram();
+    ~LatencyHistogram();
+    LatencyHistogram(LatencyHistogram &&) noexcept;
+    LatencyHistogram &operator=(LatencyHistogram &&) noexcept;
+
+    void add(Duration time);
+    void merge(const LatencyHistogram &other);
+    std::uint64_t count() const;
+    /// The time that the given share (0 to 1) of the values does not exceed; 0 when there are none.
+    Duration quantile(double share) const;
+
+private:
+    struct Bins;
+    std::unique_ptr<Bins> bins_;
+};
+
+}
