Add HTTP adapters for the platform and the engines, and the in-memory object store

Cause: the assignment, idempotency and configuration packages need an ObjectStore and an EngineClient. Change: core/http_client (bounded pool of kept connections, one deadline per request over waiting, connecting and the answer), core/json_reader (field reads that never throw), HttpObjectStore, HttpEngineClient and MemoryObjectStore. The client is in core because the dependency table lets engine use only core and observe, not platform. Ruled out: a resolver (addresses are IP addresses), repeating a failed PUT on a fresh connection (it may have taken effect; the writer reads back). A failed GET on an idle connection is repeated once on a fresh one.

--- /dev/null
+++ b/src/core/http_client.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace carawaypoint
+{
+
+struct HttpRequest {
+    std::string method = "GET";
+    std::string target; // path and query, already percent-encoded
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    Duration timeout{seconds(2)}; // over waiting for a connection, connecting, sending and the whole answer
+};
+
+struct HttpAnswer {
+    unsigned status = 0;
+    std::string body;
+};
+
+/// HTTP/1.1 client with a bounded pool of kept connections for each endpoint.
+///
+/// The executor must run handlers one at a time (an io_context with one thread, or a strand). Handlers run on it, never
+/// inside send(), and are called exactly once, also when the client is destroyed first. Errors are timed_out (no whole
+/// answer in time), bad_message (the answer is not HTTP or is too long), no_buffer_space (too many requests wait; not sent)
+/// and connection_reset (any other failure); after all but no_buffer_space the server may have acted on the request.
+class HttpClient
+{
+public:
+    using Handler = std::function<void(std::error_code, HttpAnswer)>;
+
+    class Builder
+    {
+    public:
+        explicit Builder(boost::asio::any_io_executor executor)
+            : executor_(std::move(executor))
+        {
+        }
+        Builder &maxConnections(std::size_t perEndpoint)
+        {
+            maxConnections_ = perEndpoint;
+            return *this;
+        }
+        Builder &maxWaiting(std::size_t perEndpoint)
+        {
+            maxWaiting_ = perEndpoint;
+            return *this;
+        }
+        /// Idle connections are not used again after this time.
+        Builder &maxIdle(Duration maxIdle)
+        {
+            maxIdle_ = maxIdle;
+            return *this;
+        }
+        Builder &maxAnswerBytes(std::size_t bytes)
+        {
+            maxAnswerBytes_ = bytes;
+            return *this;
+        }
+        std::unique_ptr<HttpClient> build() const;
+
+    private:
+        friend class HttpClient;
+        boost::asio::any_io_executor executor_;
+        std::size_t maxConnections_ = 8;
+        std::size_t maxWaiting_ = 256;
+        Duration maxIdle_{seconds(20)};
+        std::size_t maxAnswerBytes_ = 64 * 1024 * 1024;
+    };
+
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    void send(const Endpoint &endpoint, HttpRequest request, Handler handler);
+
+private:
+    class Pool;
+    explicit HttpClient(std::shared_ptr<Pool> pool);
+
+    std::shared_ptr<Pool> pool_;
+};
+
+/// Percent-encodes one segment of a path.
+std::string percentEncoded(std::string_view segment);
+
+}
