Add the dispatcher with baselines, eligibility and a queue with deadlines

Cause: the front end is written in parallel against routing/dispatcher.h and needs an implementation.

Strategies are selected by name through tables; names that are not yet there keep the default.

Ruled out: a queue shared by all models, since a full replica of one model would then hold up the others.

--- /dev/null
+++ b/src/routing/fifo_queue.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "routing/admission_queue.h"
+
+#include <list>
+#include <unordered_map>
+
+namespace carawaypoint
+{
+
+/// Baseline: first come first served over all customers and classes of work.
+class FifoQueue : public AdmissionQueue
+{
+public:
+    void push(const QueueItem &item) override;
+    bool remove(std::uint64_t ticket) override;
+    const QueueItem *next(TimePoint now, const ShareView &shares, std::span<const std::uint64_t> blocked, bool isLongBlocked) const override;
+    bool mayPassOver() const override;
+    std::vector<std::uint64_t> expired(TimePoint now) const override;
+    std::size_t size() const override;
+    std::size_t waiting(const CustomerId &customer) const override;
+
+private:
+    std::list<QueueItem> items_;
+    std::unordered_map<std::uint64_t, std::list<QueueItem>::iterator> positions_; // by ticket
+};
+
+}
--- /dev/null
+++ b/src/routing/replica_chooser.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/random.h"
+#include "routing/dispatcher.h"
+#include "routing/replica_entry.h"
+
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace carawaypoint
+{
+
+/// A request that needs a replica, with the limits that apply to it.
+struct ChoiceRequest {
+    const ModelRequest &request;
+    bool isLong = false;
+    double keepFree = 0; // slots that must stay free on the replica after the choice
+    double longShare = 1; // of a replica's slots that long work may hold
+    ZoneId ownZone{};
+    std::uint32_t daemons = 1; // that send to the same replicas
+};
+
+/// The chosen replica, null when none has room, and what was compared.
+struct Choice {
+    ReplicaEntry *entry = nullptr;
+    std::string_view reason; // a literal
+    std::vector<const ReplicaEntry *> considered;
+};
+
+/// Strategy that selects one of the eligible replicas of a model.
+class ReplicaChooser
+{
+public:
+    virtual ~ReplicaChooser() = default;
+
+    /// @param candidates eligible replicas of the model, without those that the request excludes.
+    virtual Choice choose(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random) = 0;
+    /// Requests on the replica as this strategy sees them.
+    virtual double load(const ReplicaEntry &entry) const = 0;
+};
+
+/// Creates the strategy of that name; null when there is none.
+std::unique_ptr<ReplicaChooser> makeReplicaChooser(std::string_view name);
+
+/// The names that makeReplicaChooser() knows.
+std::span<const std::string_view> replicaChooserNames();
+
+}
--- /dev/null
+++ b/src/routing/replica_entry.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/routing_snapshot.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace carawaypoint
+{
+
+/// What this daemon knows of one incarnation of a replica: its own requests in flight and an estimate of the others'.
+/// Requests in flight keep their entry alive after the replica left the snapshot.
+class ReplicaEntry
+{
+public:
+    explicit ReplicaEntry(const ReplicaView &view);
+
+    const ReplicaId &id() const
+    {
+        return id_;
+    }
+    std::uint64_t incarnation() const
+    {
+        return incarnation_;
+    }
+    std::uint32_t slots() const
+    {
+        return slots_;
+    }
+    /// The replica in the current snapshot; null when it is not in it.
+    const ReplicaView *view() const
+    {
+        return view_;
+    }
+    std::uint32_t inFlight() const
+    {
+        return inFlight_;
+    }
+    std::uint32_t inFlightLong() const
+    {
+        return inFlightLong_;
+    }
+    /// Requests of the whole fleet on the replica: own ones plus the last known count of the peers.
+    double estimatedLoad() const
+    {
+        return inFlight_ + peers_;
+    }
+    /// Like estimatedLoad(), for long work only.
+    double estimatedLong() const
+    {
+        return inFlightLong_ + peersLong_;
+    }
+    /// Own requests added since the load report, never negative.
+    std::uint32_t growthSinceReport() const;
+    /// Part of its normal traffic that the replica may take, 0 to 1; below 1 while it is ejected as an outlier.
+    double weight() const
+    {
+        return weight_;
+    }
+    void setWeight(double weight)
+    {
+        weight_ = weight;
+    }
+    /// Whether a crash suspect runs alone on the replica, so that it takes nothing else.
+    bool isIsolated() const
+    {
+        return isIsolated_;
+    }
+    void setIsolated(bool isolated)
+    {
+        isIsolated_ = isolated;
+    }
+
+    void addInFlight(bool isLong, TimePoint now);
+    void removeInFlight(bool isLong, TimePoint now);
+    /// A request counted as short turned out to be long.
+    void reclassifyAsLong(TimePoint now);
+
+    /// Takes over load report and peers' counts. @p view must outlive the entry's use or be replaced.
+    void update(const ReplicaView &view, bool isPeerExchangeFresh);
+    void detach();
+
+private:
+    struct Change {
+        TimePoint at;
+        std::uint32_t inFlight = 0;
+        std::uint32_t inFlightLong = 0;
+    };
+
+    void record(TimePoint now);
+    Change stateAt(TimePoint at) const;
+
+    ReplicaId id_;
+    std::uint64_t incarnation_ = 0;
+    std::uint32_t slots_ = 0;
+    const ReplicaView *view_ = nullptr;
+    std::uint32_t inFlight_ = 0;
+    std::uint32_t inFlightLong_ = 0;
+    std::uint32_t ownAtReport_ = 0;
+    double peers_ = 0;
+    double peersLong_ = 0;
+    double weight_ = 1;
+    bool isIsolated_ = false;
+    std::deque<Change> history_; // of the own counts, to subtract them from a report of an earlier moment
+};
+
+}
--- /dev/null
+++ b/src/routing/round_robin_chooser.cpp
@@ -0,0 +1,22 @@
+#include "routing/round_robin_chooser.h"
+
+namespace carawaypoint
+{
+
+Choice RoundRobinChooser::choose(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &, RandomGenerator &)
+{
+    for (std::size_t tried = 0; tried < candidates.size(); ++tried) {
+        ReplicaEntry *entry = candidates[next_++ % candidates.size()];
+        if (load(*entry) < entry->slots()) {
+            return {entry, "next in turn", {entry}};
+        }
+    }
+    return {};
+}
+
+double RoundRobinChooser::load(const ReplicaEntry &entry) const
+{
+    return entry.inFlight();
+}
+
+}
