--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <cstdint>
 #include <initializer_list>
+
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,15 +46,30 @@
     std::string json_;
 };
 
+/// The level named "debug", "info", "warning" or "error"; Info for another name.
+LogLevel parseLogLevel(std::string_view name);
+
 /// Sends log lines to standard error, or to @p path when it is not empty. Lines below @p level are left out.
+/// Lines are written by a thread of their own from a bounded queue; a full queue drops lines and counts them.
+/// Without startLog() no line is written, but decisions are kept.
 void startLog(std::string_view process, LogLevel level, std::string_view path = {});
 
+/// Writes the queued lines and ends the writing thread.
+void stopLog();
+
+/// Log lines dropped by a full queue since the process started.
+std::uint64_t droppedLogLines();
+
 /// Writes one JSON line with time, level, process and message.
 void logLine(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
 
 /// Writes a routing or placement decision and keeps it for `carawaypoint explain`.
 /// @param kind "routing", "placement", "admission", "claim", "configuration" or "alarm".
 /// @param subject the request, replica or VM that the decision is about.
-void logDecision(std::string_view kind, std::string_view subject, std::string_view choice, std::string_view reason, std::initializer_list<LogField> fields = {});
+void logDecision(std::string_view kind,
+                 std::string_view subject,
+                 std::string_view choice,
+                 std::string_view reason,
+                 std::initializer_list<LogField> fields = {});
 
 }
--- /dev/null
+++ b/tests/observe/log_test.cpp
@@ -0,0 +1,108 @@
+#include "observe/decision_log.h"
+#include "observe/log.h"
+
+#include <boost/json/parse.hpp>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+std::vector<std::string> readLines(const std::string &path)
+{
+    std::ifstream file(path);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(file, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+std::string temporaryPath(const std::string &name)
+{
+    return (std::filesystem::temp_directory_path() / (name + std::to_string(getpid()))).string();
+}
+
+}
+
+// Guards against callers' texts that break the JSON of a line or smuggle in a second line.
+TEST(Log, everyLineIsOneJsonObject)
+{
+    const auto path = temporaryPath("cp-log-test-");
+    startLog("entry-1", LogLevel::Info, path);
+    logLine(LogLevel::Debug, "left out");
+    logLine(LogLevel::Warning, "quote \" newline \n invalid \xff", {{"count", 3}, {"ratio", 0.5}, {"not_finite", 0.0 / 0.0}, {"flag", true}});
+    logDecision("routing", "r-\"1\"", "replica-1", "least load", {{"load", 2U}});
+    stopLog();
+    const auto lines = readLines(path);
+    std::filesystem::remove(path);
+    ASSERT_EQ(lines.size(), 2U);
+    const auto first = boost::json::parse(lines[0]).as_object();
+    EXPECT_EQ(first.at("level"), "warning");
+    EXPECT_EQ(first.at("process"), "entry-1");
+    EXPECT_EQ(first.at("message"), "quote \" newline \n invalid \xEF\xBF\xBD");
+    EXPECT_TRUE(first.at("not_finite").is_null());
+    const auto second = boost::json::parse(lines[1]).as_object();
+    EXPECT_EQ(second.at("subject"), "r-\"1\"");
+    EXPECT_EQ(second.at("load"), 2);
+}
+
+// Guards against lines that are neither written nor counted, and against a logging thread that waits for the sink.
+TEST(Log, droppedLinesAreCounted)
+{
+    constexpr std::uint64_t Lines = 40'000;
+    const auto path = temporaryPath("cp-log-drop-");
+    const auto droppedBefore = droppedLogLines();
+    startLog("entry-1", LogLevel::Info, path);
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 4; ++thread) {
+        threads.emplace_back([] {
+            for (std::uint64_t i = 0; i < Lines / 4; ++i) {
+                logLine(LogLevel::Info, "line", {{"number", i}});
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    stopLog();
+    const auto written = readLines(path).size();
+    std::filesystem::remove(path);
+    EXPECT_EQ(written + (droppedLogLines() - droppedBefore), Lines);
+}
+
+// Guards against frequent routing decisions displacing the placement decisions that explain a replica's loss.
+TEST(DecisionLog, kindsDoNotDisplaceEachOther)
+{
+    DecisionLog log(8);
+    log.add({.kind = "placement", .subject = "r1", .choice = "vm-4"});
+    for (int i = 0; i < 100; ++i) {
+        log.add({.kind = "routing", .subject = "q" + std::to_string(i)});
+    }
+    EXPECT_EQ(log.find("r1").size(), 1U);
+    EXPECT_TRUE(log.find("q91").empty());
+    EXPECT_EQ(log.find("q92").size(), 1U);
+}
+
+// Guards against records out of order after the ring wrapped, and against unbounded records.
+TEST(DecisionLog, findsTheLatestInOrderAndCutsLongTexts)
+{
+    DecisionLog log(4);
+    for (int i = 0; i < 7; ++i) {
+        log.add({.kind = "placement", .subject = "vm-1", .choice = std::to_string(i), .reason = std::string(5000, 'x')});
+    }
+    const auto found = log.find("vm-1", 3);
+    ASSERT_EQ(found.size(), 3U);
+    EXPECT_EQ(found.front().choice, "4");
+    EXPECT_EQ(found.back().choice, "6");
+    EXPECT_EQ(found.back().reason.size(), DecisionLog::MaxTextBytes);
+}
+
+}
