Add the HTTP front end for model requests

Cause: callers need one entry that streams answers of engines and says honestly whether a request ran. Change: traffic threads with SO_REUSEPORT acceptors, sessions with shared ownership, chat completions streamed and whole through the Dispatcher, resume on another replica from the delivered token, pooled engine connections with age, idle check and TCP_USER_TIMEOUT, cancel at the engine, /healthz, /readyz and graceful drain. Ruled out: closing timeouts of beast::tcp_stream, since a slow request must still be answered with request_too_slow.

--- /dev/null
+++ b/src/serving/caller_session.cpp
@@ -0,0 +1,247 @@
+#include "serving/caller_session.h"
+
+#include "observe/log.h"
+#include "serving/chat_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace carawaypoint
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t InputBytes = 4 * 1024;
+constexpr std::size_t MaxDiscardedBytes = 256 * 1024; // read after a refusal, so that the caller's kernel delivers the response
+constexpr auto DiscardTime = seconds(1);
+
+/// Counts a request from its arrival until its answer was written.
+class ProgressGuard
+{
+public:
+    explicit ProgressGuard(FrontEndContext &context)
+        : context_(context)
+    {
+        ++context_.inProgress;
+    }
+    ~ProgressGuard()
+    {
+        --context_.inProgress;
+    }
+    ProgressGuard(const ProgressGuard &) = delete;
+    ProgressGuard &operator=(const ProgressGuard &) = delete;
+
+private:
+    FrontEndContext &context_;
+};
+
+}
+
+struct CallerSession::Request {
+    http::request<http::string_body> message;
+    RequestId id;
+
+    std::string_view target() const
+    {
+        return {message.target().data(), message.target().size()};
+    }
+    std::string_view header(std::string_view name) const
+    {
+        const auto value = message[name];
+        return {value.data(), value.size()};
+    }
+};
+
+CallerSession::CallerSession(std::shared_ptr<TrafficLoop> loop, ConnectionPtr connection)
+    : loop_(std::move(loop))
+    , connection_(std::move(connection))
+    , channel_(std::make_shared<CallerChannel>(loop_, connection_))
+{
+    ++loop_->callerConnections;
+    loop_->context.count(ServingEvent::CallerConnected);
+}
+
+CallerSession::~CallerSession()
+{
+    --loop_->callerConnections;
+}
+
+void CallerSession::start()
+{
+    asio::co_spawn(
+        loop_->io, [self = shared_from_this()]() -> asio::awaitable<void> { return self->run(); }, asio::detached);
+}
+
+asio::awaitable<void> CallerSession::run()
+{
+    const auto self = shared_from_this();
+    while (co_await waitForInput()) {
+        const ProgressGuard guard(loop_->context);
+        arrivedAt_ = loop_->context.dependencies.clock->now();
+        const auto request = co_await readRequest();
+        if (!request) {
+            break;
+        }
+        const bool isReusable = co_await answer(*request);
+        channel_->stopWatching();
+        if (!isReusable) {
+            break;
+        }
+    }
+    connection_->close();
+}
+
+asio::awaitable<bool> CallerSession::waitForInput()
+{
+    auto &buffer = connection_->buffer();
+    if (buffer.size() != 0) {
+        co_return true;
+    }
+    connection_->limit(loop_->context.settings.idleTimeout);
+    const auto [error, size] = co_await connection_->socket().async_read_some(buffer.prepare(InputBytes), UseResult);
+    connection_->unlimit();
+    buffer.commit(size);
+    co_return !error && size > 0;
+}
+
+RequestId CallerSession::nextRequestId()
+{
+    sequence_ = ++loop_->context.sequence;
+    return RequestId(std::to_string(loop_->context.dependencies.processIncarnation) + "-" + std::to_string(sequence_));
+}
+
+asio::awaitable<std::unique_ptr<CallerSession::Request>> CallerSession::readRequest()
+{
+    const auto &settings = loop_->context.settings;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(settings.maxHeaderBytes);
+    parser.body_limit(settings.maxBodyBytes);
+    connection_->limit(settings.headerTimeout);
+    auto [error, size] = co_await http::async_read_header(connection_->socket(), connection_->buffer(), parser, UseResult);
+    if (!error) {
+        connection_->limit(settings.bodyTimeout);
+        std::tie(error, size) = co_await http::async_read(connection_->socket(), connection_->buffer(), parser, UseResult);
+    }
+    connection_->unlimit();
+    if (!error && parser.get().version() != 11) {
+        co_await refuseAndClose(ResultCode::MalformedRequest, "only HTTP/1.1 is served");
+        co_return nullptr;
+    }
+    if (!error) {
+        auto request = std::make_unique<Request>();
+        request->message = parser.release();
+        request->id = nextRequestId();
+        co_return request;
+    }
+    if (connection_->isTimedOut()) {
+        co_await refuseAndClose(ResultCode::RequestTooSlow, "the request did not arrive in time");
+    } else if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow) {
+        co_await refuseAndClose(ResultCode::RequestTooLarge, "header or body exceeds its limit");
+    } else if (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
+               && error != http::error::partial_message) {
+        co_await refuseAndClose(ResultCode::MalformedRequest, "the request is not HTTP: " + error.message());
+    }
+    co_return nullptr;
+}
+
+asio::awaitable<void> CallerSession::refuseAndClose(ResultCode code, std::string message)
+{
+    const auto id = nextRequestId();
+    co_await channel_->send(makeErrorReply(code, RunState::NotRun, message), id, false);
+    logLine(LogLevel::Info, "request refused", {{"request", id.str()}, {"code", resultCodeName(code)}, {"reason", message}});
+    if (auto *metrics = loop_->context.dependencies.metrics) {
+        metrics->requestFinished(code, RunState::NotRun, loop_->context.dependencies.clock->now() - arrivedAt_);
+    }
+    co_await closeGently();
+}
+
+asio::awaitable<void> CallerSession::closeGently()
+{
+    // Closing with unread input resets the connection, and the caller may lose the response.
+    boost::system::error_code error;
+    connection_->socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    connection_->limit(DiscardTime);
+    std::vector<char> discarded(InputBytes);
+    for (std::size_t total = 0; !error && total < MaxDiscardedBytes;) {
+        std::size_t size = 0;
+        std::tie(error, size) = co_await connection_->socket().async_read_some(asio::buffer(discarded), UseResult);
+        total += size;
+    }
+    connection_->unlimit();
+}
+
+asio::awaitable<bool> CallerSession::reply(const Request &request, const Reply &reply)
+{
+    const bool keepAlive = request.message.keep_alive() && !reply.closesConnection;
+    const bool isSent = co_await channel_->send(reply, request.id, keepAlive);
+    if (auto *metrics = loop_->context.dependencies.metrics) {
+        metrics->requestFinished(reply.code, reply.state, loop_->context.dependencies.clock->now() - arrivedAt_);
+    }
+    co_return isSent &&keepAlive;
+}
+
+asio::awaitable<bool> CallerSession::answer(const Request &request)
+{
+    auto &context = loop_->context;
+    const auto target = request.target().substr(0, request.target().find('?'));
+    if (target == "/healthz") {
+        Reply healthy;
+        healthy.body = R"({"status":"running"})";
+        co_return co_await reply(request, healthy);
+    }
+    if (target == "/readyz") {
+        const auto snapshot = context.dependencies.snapshot();
+        const bool isConfigured = snapshot && snapshot->generation > 0 && (!context.dependencies.isReady || context.dependencies.isReady());
+        if (context.isDraining || !isConfigured) {
+            const auto code = context.isDraining ? ResultCode::Draining : ResultCode::NotReady;
+            co_return co_await reply(request, makeErrorReply(code, RunState::NotRun, {}));
+        }
+        Reply ready;
+        ready.body = R"({"status":"ready"})";
+        co_return co_await reply(request, ready);
+    }
+    if (context.refusesRequests) {
+        auto refusal = makeErrorReply(ResultCode::Draining, RunState::NotRun, "this entry is shutting down", seconds(1));
+        refusal.closesConnection = true;
+        co_return co_await reply(request, refusal);
+    }
+    if (target == "/v1/chat/completions") {
+        co_return co_await answerChat(request);
+    }
+    co_return co_await reply(request, makeErrorReply(ResultCode::UnknownPath, RunState::NotRun, "no such path"));
+}
+
+asio::awaitable<bool> CallerSession::answerChat(const Request &request)
+{
+    auto &context = loop_->context;
+    if (request.message.method() != http::verb::post) {
+        auto refusal = makeErrorReply(ResultCode::MalformedRequest, RunState::NotRun, "the method is not POST");
+        refusal.status = 405;
+        refusal.headers.emplace_back("Allow", "POST");
+        co_return co_await reply(request, refusal);
+    }
+    const auto snapshot = context.dependencies.snapshot();
+    if (!snapshot || snapshot->generation == 0) {
+        co_return co_await reply(request, makeErrorReply(ResultCode::NotReady, RunState::NotRun, "no configuration is in force yet", seconds(1)));
+    }
+    const ChatInput input{request.message.body(), request.header("X-Customer"), request.header("X-Deadline-Ms")};
+    auto check = checkChatRequest(input, *snapshot, arrivedAt_, context.settings);
+    if (check.code != ResultCode::Ok) {
+        co_return co_await reply(request, makeErrorReply(check.code, RunState::NotRun, check.message));
+    }
+    check.request.routing.id = request.id;
+    const auto call = std::make_shared<ChatCall>(loop_, channel_, std::move(check.request), sequence_, arrivedAt_);
+    const bool isReusable = co_await call->run(request.message.keep_alive());
+    if (auto *metrics = context.dependencies.metrics) {
+        metrics->requestFinished(call->code(), call->state(), context.dependencies.clock->now() - arrivedAt_);
+    }
+    co_return isReusable;
+}
+
+}
--- /dev/null
+++ b/src/serving/connection.cpp
@@ -0,0 +1,99 @@
+#include "serving/connection.h"
+
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace carawaypoint
+{
+
+namespace
+{
+// A composed operation may start its next step just after a cancel, so the cancel is repeated until the limit is lifted.
+constexpr auto CancelInterval = milliseconds(10);
+}
+
+Connection::Connection(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+{
+}
+
+void Connection::limit(Duration time)
+{
+    if (isInterrupted_) {
+        return;
+    }
+    ++limitNumber_;
+    isTimedOut_ = false;
+    timer_.expires_after(time);
+    waitForLimit();
+}
+
+void Connection::unlimit()
+{
+    if (isInterrupted_) {
+        return;
+    }
+    ++limitNumber_;
+    timer_.cancel();
+}
+
+void Connection::interrupt()
+{
+    isInterrupted_ = true;
+    ++limitNumber_;
+    cancelRepeatedly();
+}
+
+void Connection::waitForLimit()
+{
+    timer_.async_wait([weak = weak_from_this(), number = limitNumber_](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->limitNumber_ != number) {
+            return;
+        }
+        self->isTimedOut_ = !self->isInterrupted_;
+        self->cancelRepeatedly();
+    });
+}
+
+void Connection::cancelRepeatedly()
+{
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+    if (!socket_.is_open()) {
+        return;
+    }
+    timer_.expires_after(CancelInterval);
+    waitForLimit();
+}
+
+void Connection::setUserTimeout(Duration time)
+{
+    const auto value = static_cast<unsigned>(std::chrono::duration_cast<milliseconds>(time).count());
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
+bool Connection::hasInput()
+{
+    char byte = 0;
+    const auto received = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool Connection::isPeerClosed()
+{
+    char byte = 0;
+    const auto received = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void Connection::close()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+}
--- /dev/null
+++ b/src/serving/engine_attempt.cpp
@@ -0,0 +1,356 @@
+#include "serving/engine_attempt.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace carawaypoint
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::size_t MaxRefusalBytes = 4 * 1024;
+constexpr std::uint32_t MaxCancelsInProgress = 512; // per thread; an engine that gets no cancel ends the attempt at its own limit
+constexpr auto RestTimeout = seconds(1); // for the end of the chunked encoding after the end marker
+
+http::request<http::string_body> makeRequest(const AttemptPlan &plan)
+{
+    http::request<http::string_body> request(http::verb::post, "/v1/chat/completions", 11);
+    const auto &decision = plan.decision;
+    request.set(http::field::host, decision.leader.toString());
+    request.set(http::field::content_type, "application/json");
+    request.set("X-Request-Id", plan.request.str());
+    request.set("X-Attempt-Id", plan.id.toString());
+    request.set("X-Replica", decision.replica.str() + "/" + std::to_string(decision.incarnation));
+    request.set("X-Priority", std::to_string(decision.priority));
+    request.set("X-Long-Work", decision.isLongWork ? "1" : "0");
+    if (plan.resumeFrom > 0) {
+        request.set("X-Resume-From", std::to_string(plan.resumeFrom));
+    }
+    request.body() = plan.body;
+    request.prepare_payload();
+    return request;
+}
+
+}
+
+/// Reads the response's body in pieces.
+class EngineAttempt::Reader
+{
+public:
+    explicit Reader(Connection &connection)
+        : connection_(connection)
+    {
+        parser.body_limit(boost::none);
+    }
+
+    asio::awaitable<boost::system::error_code> readHeader()
+    {
+        const auto [error, size] = co_await http::async_read_header(connection_.socket(), connection_.buffer(), parser, UseResult);
+        co_return error;
+    }
+
+    asio::awaitable<boost::system::error_code> readSome()
+    {
+        parser.get().body().data = buffer_.data();
+        parser.get().body().size = buffer_.size();
+        parser.get().body().more = true;
+        const auto [error, size] = co_await http::async_read_some(connection_.socket(), connection_.buffer(), parser, UseResult);
+        received = std::string_view(buffer_.data(), buffer_.size() - parser.get().body().size);
+        co_return error == http::error::need_buffer ? boost::system::error_code() : error;
+    }
+
+    std::string_view header(std::string_view name)
+    {
+        const auto value = parser.get()[name];
+        return {value.data(), value.size()};
+    }
+
+    http::response_parser<http::buffer_body> parser;
+    std::string_view received; // by the last readSome()
+
+private:
+    Connection &connection_;
+    std::array<char, ReadBytes> buffer_{};
+};
+
+EngineAttempt::EngineAttempt(std::shared_ptr<TrafficLoop> loop, AttemptPlan plan, UpstreamConnection upstream, TokenSink &sink)
+    : loop_(std::move(loop))
+    , plan_(std::move(plan))
+    , upstream_(std::move(upstream))
+    , sink_(&sink)
+    , reader_(std::make_unique<Reader>(*upstream_.connection))
+    , events_(loop_->context.settings.maxEventBytes)
+    , nextIndex_(plan_.resumeFrom)
+{
+}
+
+EngineAttempt::~EngineAttempt() = default;
+
+void EngineAttempt::interrupt()
+{
+    upstream_.connection->interrupt();
+}
+
+AttemptResult EngineAttempt::failure(AttemptResult::End end, ResultCode code, std::string detail) const
+{
+    AttemptResult result;
+    result.end = end;
+    result.code = code;
+    result.hasAnswerBegun = hasAnswerBegun_;
+    result.detail = std::move(detail);
+    return result;
+}
+
+AttemptResult EngineAttempt::transportFailure(std::string_view what, const std::string &error) const
+{
+    if (upstream_.connection->isInterrupted()) {
+        return failure(AttemptResult::End::SinkClosed, ResultCode::CallerClosed, "the caller left");
+    }
+    if (upstream_.connection->isTimedOut()) {
+        return failure(AttemptResult::End::TimedOut, ResultCode::BackendTimeout, std::string(what) + " timed out");
+    }
+    return failure(AttemptResult::End::Lost, ResultCode::ReplicaLost, std::string(what) + " failed: " + error);
+}
+
+asio::awaitable<AttemptResult> EngineAttempt::run()
+{
+    const auto self = shared_from_this();
+    auto result = co_await exchange();
+    if (result.end == AttemptResult::End::Finished) {
+        // The caller's answer does not wait for the end of the encoding.
+        asio::co_spawn(
+            loop_->io, [self]() -> asio::awaitable<void> { return self->readRest(); }, asio::detached);
+    } else if (result.end != AttemptResult::End::RefusedBeforeRun || upstream_.connection->isTimedOut()) {
+        upstream_.connection->close();
+    }
+    co_return result;
+}
+
+asio::awaitable<AttemptResult> EngineAttempt::exchange()
+{
+    auto &connection = *upstream_.connection;
+    const auto request = makeRequest(plan_);
+    connection.limit(loop_->context.settings.firstByteTimeout);
+    const auto [error, size] = co_await http::async_write(connection.socket(), request, UseResult);
+    if (error) {
+        co_return transportFailure("sending the request", error.message());
+    }
+    if (const auto headError = co_await reader_->readHeader()) {
+        hasAnswerBegun_ = reader_->parser.got_some();
+        co_return transportFailure("waiting for the answer", headError.message());
+    }
+    hasAnswerBegun_ = true;
+    if (reader_->header("X-Attempt-Id") != plan_.id.toString()) {
+        loop_->context.count(ServingEvent::WrongAttemptDropped);
+        co_return failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, "the answer carries another attempt id");
+    }
+    const auto status = reader_->parser.get().result_int();
+    if (status != 200) {
+        co_return co_await readRefusal(status);
+    }
+    const auto replica = plan_.decision.replica.str() + "/" + std::to_string(plan_.decision.incarnation);
+    if (const auto answered = reader_->header("X-Replica"); answered != replica) {
+        co_return failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, "the answer comes from another replica");
+    }
+    co_return co_await readTokens();
+}
+
+asio::awaitable<AttemptResult> EngineAttempt::readRefusal(unsigned status)
+{
+    std::string body;
+    while (!reader_->parser.is_done() && body.size() < MaxRefusalBytes) {
+        if (const auto error = co_await reader_->readSome()) {
+            co_return transportFailure("reading a refusal", error.message());
+        }
+        body += reader_->received;
+    }
+    const auto says = [&body](std::string_view code) {
+        return body.find("\"" + std::string(code) + "\"") != std::string::npos;
+    };
+    const bool isRefusal = (status == 409 && says("wrong_replica")) || (status == 503 && (says("draining") || says("not_loaded") || says("full")));
+    if (!isRefusal) {
+        const bool isRejected = status >= 400 && status < 500 && status != 408 && status != 409 && status != 429;
+        co_return failure(isRejected ? AttemptResult::End::Rejected : AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer,
+                          "the engine answered with status " + std::to_string(status));
+    }
+    auto result = failure(AttemptResult::End::RefusedBeforeRun, ResultCode::BackendRefused, "the engine refused: " + body);
+    result.mayHaveRun = false;
+    result.refusal = says("draining") ? ServerSignal::Kind::Draining : ServerSignal::Kind::Refused;
+    if (reader_->parser.is_done() && reader_->parser.get().keep_alive()) {
+        loop_->pool.giveBack(plan_.decision.leader, upstream_);
+    }
+    co_return result;
+}
+
+asio::awaitable<AttemptResult> EngineAttempt::readTokens()
+{
+    auto &connection = *upstream_.connection;
+    const auto &settings = loop_->context.settings;
+    AttemptResult result;
+    while (true) {
+        // The first token counts from sending; the limit set there goes on.
+        if (nextIndex_ > plan_.resumeFrom) {
+            connection.limit(settings.interTokenTimeout);
+        }
+        boost::system::error_code error;
+        if (!reader_->parser.is_done()) {
+            error = co_await reader_->readSome();
+            events_.feed(reader_->received);
+        } else {
+            error = http::error::end_of_stream;
+        }
+        std::vector<EngineEvent> tokens;
+        const bool hasEnded = takeEvents(tokens, result);
+        if (!tokens.empty()) {
+            connection.unlimit();
+            if (!co_await sink_->takeTokens(std::move(tokens))) {
+                co_return failure(AttemptResult::End::SinkClosed, ResultCode::CallerClosed, "the caller does not take the answer");
+            }
+        }
+        if (hasEnded) {
+            co_return result;
+        }
+        if (error) {
+            loop_->context.count(ServingEvent::TruncatedAnswer);
+            co_return transportFailure("reading the answer", error.message());
+        }
+    }
+}
+
+bool EngineAttempt::takeEvents(std::vector<EngineEvent> &tokens, AttemptResult &result)
+{
+    const auto fail = [&](std::string detail) {
+        result = failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, std::move(detail));
+        return true;
+    };
+    while (const auto data = events_.next()) {
+        if (data->empty()) {
+            continue; // a comment that keeps the connection alive
+        }
+        auto event = parseEngineEvent(*data);
+        if (event.kind == EngineEvent::Kind::Malformed) {
+            return fail("an event is malformed");
+        }
+        if (event.kind == EngineEvent::Kind::Done) {
+            if (!hasFinish_) {
+                return fail("the end marker came without a finish reason");
+            }
+            result.end = AttemptResult::End::Finished;
+            result.code = ResultCode::Ok;
+            return true;
+        }
+        if (event.id != plan_.id.toString()) {
+            loop_->context.count(ServingEvent::WrongAttemptDropped);
+            continue;
+        }
+        if (event.kind == EngineEvent::Kind::Finish) {
+            if (!takeFinish(event, result)) {
+                return true;
+            }
+            continue;
+        }
+        if (event.index < nextIndex_) {
+            loop_->context.count(ServingEvent::RepeatedTokenDropped);
+            continue;
+        }
+        if (event.index > nextIndex_) {
+            loop_->context.count(ServingEvent::TokenGap);
+            return fail("token " + std::to_string(nextIndex_) + " is missing, token " + std::to_string(event.index) + " came instead");
+        }
+        ++nextIndex_;
+        tokens.push_back(std::move(event));
+    }
+    return events_.isTooLarge() && fail("an event is larger than the limit");
+}
+
+bool EngineAttempt::takeFinish(const EngineEvent &event, AttemptResult &result)
+{
+    // After a resume, engines count either the whole answer or their own part.
+    const bool isCounted = !event.completionTokens || *event.completionTokens == nextIndex_ || *event.completionTokens + plan_.resumeFrom == nextIndex_;
+    if (!isCounted) {
+        loop_->context.count(ServingEvent::TruncatedAnswer);
+        result = failure(AttemptResult::End::BadAnswer, ResultCode::AnswerTruncated,
+                         "the engine counts " + std::to_string(*event.completionTokens) + " tokens, " + std::to_string(nextIndex_) + " were received");
+        return false;
+    }
+    hasFinish_ = true;
+    result.finishReason = event.finishReason;
+    result.promptTokens = event.promptTokens;
+    return true;
+}
+
+asio::awaitable<void> EngineAttempt::readRest()
+{
+    const auto self = shared_from_this();
+    auto &connection = *upstream_.connection;
+    connection.limit(RestTimeout);
+    boost::system::error_code error;
+    while (!error && !reader_->parser.is_done() && reader_->received.size() <= MaxRefusalBytes) {
+        error = co_await reader_->readSome();
+    }
+    if (!error && reader_->parser.is_done() && reader_->parser.get().keep_alive()) {
+        loop_->pool.giveBack(plan_.decision.leader, std::move(upstream_));
+    } else {
+        connection.close();
+    }
+}
+
+namespace
+{
+
+asio::awaitable<void> sendCancel(std::shared_ptr<TrafficLoop> loop, Endpoint engine, std::string attempt)
+{
+    auto upstream = loop->pool.takeIdle(engine);
+    if (!upstream.connection) {
+        upstream = co_await loop->pool.connect(engine);
+    }
+    --loop->cancelsInProgress;
+    if (!upstream.connection) {
+        loop->context.count(ServingEvent::CancelFailed);
+        co_return;
+    }
+    http::request<http::string_body> request(http::verb::post, "/control/cancel", 11);
+    request.set(http::field::host, engine.toString());
+    request.set(http::field::content_type, "application/json");
+    request.body() = "{\"attempt\":\"" + attempt + "\"}";
+    request.prepare_payload();
+    auto &connection = *upstream.connection;
+    connection.limit(loop->context.settings.cancelTimeout);
+    const auto [writeError, written] = co_await http::async_write(connection.socket(), request, UseResult);
+    http::response<http::string_body> response;
+    boost::system::error_code readError = writeError;
+    if (!writeError) {
+        std::tie(readError, std::ignore) = co_await http::async_read(connection.socket(), connection.buffer(), response, UseResult);
+    }
+    loop->context.count(readError ? ServingEvent::CancelFailed : ServingEvent::CancelSent);
+    if (!readError && response.keep_alive()) {
+        loop->pool.giveBack(engine, std::move(upstream));
+    } else {
+        connection.close();
+    }
+}
+
+}
+
+void cancelAtEngine(const std::shared_ptr<TrafficLoop> &loop, const Endpoint &engine, const AttemptId &attempt)
+{
+    if (loop->cancelsInProgress >= MaxCancelsInProgress) {
+        loop->context.count(ServingEvent::CancelFailed);
+        return;
+    }
+    ++loop->cancelsInProgress;
+    asio::co_spawn(loop->io, sendCancel(loop, engine, attempt.toString()), asio::detached);
+}
+
+}
--- /dev/null
+++ b/tests/serving/test_sockets.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace carawaypoint
+{
+
+/// An HTTP message as the tests' plain sockets see it.
+struct TestMessage {
+    std::string startLine;
+    std::map<std::string, std::string> headers; // names in lower case
+    std::string body;
+    bool isComplete = false; // the body's end was received
+
+    std::string header(const std::string &name) const;
+    int status() const;
+};
+
+/// A blocking connection with a hang guard of 20 s.
+class TestConnection
+{
+public:
+    explicit TestConnection(int socket);
+    static TestConnection open(const Endpoint &server);
+    TestConnection(TestConnection &&other) noexcept;
+    ~TestConnection();
+
+    bool write(std::string_view data) const;
+    /// Empty when the connection ended before a header was received.
+    std::optional<TestMessage> read();
+    /// Reads until @p text was received; false when the connection ended first.
+    bool readUntil(std::string_view text);
+    /// Waits until the peer closes or sends.
+    bool isClosedByPeer() const;
+    void close();
+    int socket() const
+    {
+        return socket_;
+    }
+
+private:
+    bool fill();
+    int socket_;
+    std::string input_;
+};
+
+/// A server on a port chosen by the system. The handler runs on a thread per connection and may write what it likes;
+/// false closes the connection.
+class FakeServer
+{
+public:
+    using Handler = std::function<bool(const TestMessage &, TestConnection &)>;
+
+    explicit FakeServer(Handler handler);
+    ~FakeServer();
+
+    const Endpoint &endpoint() const
+    {
+        return endpoint_;
+    }
+    int connections() const
+    {
+        return connections_;
+    }
+
+private:
+    void accept();
+    void serve(int socket);
+
+    Handler handler_;
+    Endpoint endpoint_;
+    int listener_;
+    std::atomic<int> connections_ = 0;
+    std::mutex mutex_;
+    std::list<int> sockets_;
+    std::list<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+/// An endpoint that refuses connections.
+Endpoint unusedEndpoint();
+std::string responseText(int status, const std::string &headers, const std::string &body);
+/// Polls until @p condition holds; false after 20 s, which only a fault reaches.
+bool waitFor(const std::function<bool()> &condition);
+
+}
