Add the metrics registry and the admin server

Cause: every package counts, and operators' tools and scrapers need an address on each daemon. Change: typed counters, gauges and histograms on prometheus-cpp core, at most 64 label values each; an HTTP server with handlers by method and path, bounded bodies, connections and times, and faults as result codes. Ruled out: prometheus-cpp's pull library (a second HTTP server); a synchronous handler (applying a configuration waits for the platform).

--- /dev/null
+++ b/src/daemon/admin_server.cpp
@@ -0,0 +1,334 @@
+#include "daemon/admin_server.h"
+
+#include "observe/log.h"
+#include "observe/metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+#include <atomic>
+#include <exception>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+class AdminSession;
+
+}
+
+struct AdminServer::State {
+    State(asio::any_io_executor usedExecutor, const AdminLimits &usedLimits)
+        : executor(std::move(usedExecutor))
+        , limits(usedLimits)
+        , acceptor(executor)
+        , acceptDelay(executor)
+    {
+    }
+
+    asio::any_io_executor executor;
+    AdminLimits limits;
+    Tcp::acceptor acceptor;
+    asio::steady_timer acceptDelay;
+    std::map<std::pair<std::string, std::string>, Handler> handlers;
+    std::set<AdminSession *> sessions;
+};
+
+namespace
+{
+
+/// One connection; keeps itself alive while an operation is outstanding.
+class AdminSession : public std::enable_shared_from_this<AdminSession>
+{
+public:
+    AdminSession(Tcp::socket socket, std::shared_ptr<AdminServer::State> server)
+        : server_(std::move(server))
+        , stream_(std::move(socket))
+        , handlerTimer_(server_->executor)
+    {
+        server_->sessions.insert(this);
+    }
+
+    AdminSession(const AdminSession &) = delete;
+    AdminSession &operator=(const AdminSession &) = delete;
+
+    ~AdminSession()
+    {
+        server_->sessions.erase(this);
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(server_->limits.maxBodyBytes);
+        parser_->header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
+        // The longer timeout covers the pause between two requests only; the body gets its own after the header.
+        stream_.expires_after(isKept_ ? server_->limits.idleTimeout : server_->limits.readTimeout);
+        http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) { self->readBody(error); });
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        stream_.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+        stream_.close();
+        handlerTimer_.cancel();
+    }
+
+private:
+    void readBody(beast::error_code error)
+    {
+        if (error) {
+            answerReadError(error);
+            return;
+        }
+        stream_.expires_after(server_->limits.readTimeout);
+        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code bodyError, std::size_t) { self->dispatch(bodyError); });
+    }
+
+    void answerReadError(beast::error_code error)
+    {
+        isKept_ = false;
+        if (error == http::error::body_limit || error == http::error::header_limit) {
+            isCloseNeeded_ = true;
+            write(makeAdminError(ResultCode::RequestTooLarge, "the request is larger than the admin server accepts"));
+        } else if (error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
+                   && error != http::error::partial_message) {
+            isCloseNeeded_ = true;
+            write(makeAdminError(ResultCode::MalformedRequest, error.message()));
+        }
+    }
+
+    void dispatch(beast::error_code error)
+    {
+        if (error) {
+            answerReadError(error);
+            return;
+        }
+        auto message = parser_->release();
+        isCloseNeeded_ = !message.keep_alive();
+        isAnswered_ = false;
+        ++sequence_;
+        const auto target = boost::urls::parse_origin_form(message.target());
+        if (target.has_error()) {
+            answer(sequence_, makeAdminError(ResultCode::MalformedRequest, "expected a path and an optional query"));
+            return;
+        }
+        AdminRequest request;
+        request.method = message.method_string();
+        request.path = std::string(target->encoded_path());
+        for (const auto &parameter : target->params()) {
+            request.query[parameter.key] = parameter.value;
+        }
+        request.body = std::move(message.body());
+        callHandler(request);
+    }
+
+    void callHandler(const AdminRequest &request)
+    {
+        const auto found = server_->handlers.find({request.method, request.path});
+        if (found == server_->handlers.end()) {
+            answer(sequence_, makeAdminError(ResultCode::UnknownPath, "no handler for " + request.method + " " + request.path));
+            return;
+        }
+        stream_.expires_never();
+        handlerTimer_.expires_after(server_->limits.handlerTimeout);
+        handlerTimer_.async_wait([self = shared_from_this(), sequence = sequence_](beast::error_code error) {
+            if (!error) {
+                self->answer(sequence, makeAdminError(ResultCode::Internal, "no answer within the time limit"));
+            }
+        });
+        // The responder may be destroyed on any thread, so it must not be the owner that ends the session.
+        auto respond = [weak = weak_from_this(), executor = server_->executor, sequence = sequence_](AdminResponse response) {
+            asio::post(executor, [weak, sequence, response = std::move(response)]() mutable {
+                if (const auto self = weak.lock()) {
+                    self->answer(sequence, std::move(response));
+                }
+            });
+        };
+        try {
+            found->second(request, respond);
+        } catch (const std::exception &error) {
+            answer(sequence_, makeAdminError(ResultCode::Internal, error.what()));
+        }
+    }
+
+    /// Ignores a second answer and one that arrives after the handler's timeout.
+    void answer(std::uint64_t sequence, AdminResponse response)
+    {
+        if (isAnswered_ || sequence != sequence_) {
+            return;
+        }
+        isAnswered_ = true;
+        handlerTimer_.cancel();
+        write(std::move(response));
+    }
+
+    void write(AdminResponse response)
+    {
+        response_ = {};
+        response_.version(11);
+        response_.result(response.status);
+        response_.set(http::field::content_type, response.contentType);
+        response_.set("X-Result-Code", std::to_string(static_cast<unsigned>(response.code)) + " " + std::string(resultCodeName(response.code)));
+        response_.keep_alive(!isCloseNeeded_);
+        response_.body() = std::move(response.body);
+        response_.prepare_payload();
+        stream_.expires_after(server_->limits.writeTimeout);
+        http::async_write(stream_, response_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (error) {
+                return;
+            }
+            if (self->isCloseNeeded_) {
+                self->close();
+                return;
+            }
+            self->isKept_ = true;
+            self->read();
+        });
+    }
+
+    std::shared_ptr<AdminServer::State> server_;
+    beast::tcp_stream stream_;
+    asio::steady_timer handlerTimer_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+    std::uint64_t sequence_ = 0; // of the request on this connection
+    bool isAnswered_ = false;
+    bool isKept_ = false;
+    bool isCloseNeeded_ = false;
+};
+
+void acceptNext(const std::shared_ptr<AdminServer::State> &state)
+{
+    state->acceptor.async_accept([state](beast::error_code error, Tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !state->acceptor.is_open()) {
+            return;
+        }
+        if (!error && state->sessions.size() < state->limits.maxConnections) {
+            std::make_shared<AdminSession>(std::move(socket), state)->read();
+        }
+        if (!error) {
+            acceptNext(state);
+            return;
+        }
+        // Without a pause, an error such as a lack of file descriptors would keep the control thread busy.
+        state->acceptDelay.expires_after(milliseconds(100));
+        state->acceptDelay.async_wait([state](beast::error_code delayError) {
+            if (!delayError) {
+                acceptNext(state);
+            }
+        });
+    });
+}
+
+}
+
+AdminResponse makeAdminError(ResultCode code, std::string_view message, std::string_view extraJson)
+{
+    const auto &info = resultCodeInfo(code);
+    const boost::json::object error{{"code", static_cast<unsigned>(code)},
+                                    {"name", boost::json::string_view(info.name)},
+                                    {"message", boost::json::string_view(message)},
+                                    {"run_state", boost::json::string_view(runStateName(info.runState))}};
+    AdminResponse response;
+    response.code = code;
+    response.status = info.httpStatus;
+    response.body = "{\"error\":" + boost::json::serialize(error) + (extraJson.empty() ? "" : ",") + std::string(extraJson) + "}";
+    return response;
+}
+
+AdminServer::AdminServer(asio::any_io_executor executor, const AdminLimits &limits)
+    : state_(std::make_shared<State>(std::move(executor), limits))
+{
+}
+
+AdminServer::~AdminServer()
+{
+    stop();
+}
+
+void AdminServer::handle(std::string_view method, std::string_view path, Handler handler)
+{
+    state_->handlers[{std::string(method), std::string(path)}] = std::move(handler);
+}
+
+std::error_code AdminServer::start(const Endpoint &listen)
+{
+    beast::error_code error;
+    const auto address = asio::ip::make_address(listen.address, error);
+    if (error) {
+        return error;
+    }
+    const Tcp::endpoint endpoint(address, listen.port);
+    auto &acceptor = state_->acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        beast::error_code ignored;
+        acceptor.close(ignored);
+        return error;
+    }
+    acceptNext(state_);
+    return {};
+}
+
+Endpoint AdminServer::localEndpoint() const
+{
+    beast::error_code error;
+    const auto endpoint = state_->acceptor.local_endpoint(error);
+    return error ? Endpoint{} : Endpoint{endpoint.address().to_string(), endpoint.port()};
+}
+
+void AdminServer::stop()
+{
+    beast::error_code ignored;
+    state_->acceptor.close(ignored);
+    state_->acceptDelay.cancel();
+    for (auto *session : state_->sessions) {
+        session->close();
+    }
+}
+
+void addMetricsHandler(AdminServer &server, MetricsRegistry &registry)
+{
+    server.handle("GET", "/metrics", [&registry](const AdminRequest &, const AdminServer::Responder &respond) {
+        registry.set(GaugeMetric::DroppedLogLines, {}, static_cast<double>(droppedLogLines()));
+        AdminResponse response;
+        response.contentType = "text/plain; version=0.0.4; charset=utf-8";
+        response.body = registry.serialize();
+        respond(std::move(response));
+    });
+}
+
+}
--- /dev/null
+++ b/src/observe/metrics.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+}
+
+namespace carawaypoint
+{
+
+/// Counters; the comment names the label.
+enum class CounterMetric : std::uint8_t {
+    Requests, // code: name of the result code
+    Tokens, // model
+    Retries, // reason
+    DroppedAnswers, // reason
+    CutStreams, // reason
+    PlatformCalls, // call: fetch, put, remove, list, watch, list_vms
+    PlatformErrors, // code: name of the result code
+    PeerBytes, // direction: in, out
+    EngineOrders, // code: name of the result code
+};
+
+/// Gauges; the comment names the label.
+enum class GaugeMetric : std::uint8_t {
+    QueueLength, // work: short, long
+    RequestsInProgress, // work: short, long
+    Replicas, // state
+    StrandedAccelerators, // domain
+    Members, // state
+    ConfigGeneration, // no label
+    ActiveAlarms, // no label
+    DroppedLogLines, // no label
+};
+
+/// Histograms in seconds; the comment names the label.
+enum class HistogramMetric : std::uint8_t {
+    FirstToken, // work: short, long
+    TokenInterval, // work: short, long
+    QueueWait, // work: short, long
+    ServiceCall, // service
+};
+
+/// Handles stay valid as long as their registry, and are updated without a lock.
+class CounterHandle
+{
+public:
+    explicit CounterHandle(prometheus::Counter &counter)
+        : counter_(&counter)
+    {
+    }
+    void add(double by = 1) const;
+
+private:
+    prometheus::Counter *counter_;
+};
+
+class GaugeHandle
+{
+public:
+    explicit GaugeHandle(prometheus::Gauge &gauge)
+        : gauge_(&gauge)
+    {
+    }
+    void set(double value) const;
+    void add(double by) const;
+
+private:
+    prometheus::Gauge *gauge_;
+};
+
+class HistogramHandle
+{
+public:
+    explicit HistogramHandle(prometheus::Histogram &histogram)
+        : histogram_(&histogram)
+    {
+    }
+    void observe(double inSeconds) const;
+
+private:
+    prometheus::Histogram *histogram_;
+};
+
+/// The metrics of one process, thread-safe.
+///
+/// Each metric has at most one label. Its values are bounded: callers could otherwise fill the memory with series. Values
+/// beyond MaxLabelValues are counted together as "other".
+class MetricsRegistry
+{
+public:
+    static constexpr std::size_t MaxLabelValues = 64;
+
+    MetricsRegistry();
+    ~MetricsRegistry();
+
+    /// Look a handle up once and keep it where a request uses it; the look-up takes a lock.
+    CounterHandle counter(CounterMetric metric, std::string_view label = {});
+    GaugeHandle gauge(GaugeMetric metric, std::string_view label = {});
+    HistogramHandle histogram(HistogramMetric metric, std::string_view label = {});
+
+    void count(CounterMetric metric, std::string_view label = {}, double by = 1);
+    void set(GaugeMetric metric, std::string_view label, double value);
+    void observe(HistogramMetric metric, std::string_view label, double inSeconds);
+
+    /// All metrics in Prometheus' text format.
+    std::string serialize() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+/// The registry of this process.
+MetricsRegistry &metricsRegistry();
+
+}
