--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "serving/http_front_end.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -36,7 +37,7 @@
     explicit Impl(ProcessSettings settings)
         : settings_(std::move(settings))
         , store_(HttpObjectStore::Builder(control_.get_executor(), settings_.platform).build())
-        , engines_(HttpEngineClient::Builder(control_.get_executor()).build())
+        , engines_(HttpEngineClient::Builder(control_.get_executor(), clock_).build())
         , assignment_(*store_, *engines_, settings_.zone, ModelId("assistant"), VmsPerReplica)
         , incarnation_(std::random_device{}())
         , dispatcher_(makeDispatcher(clock_, incarnation_))
@@ -65,7 +66,8 @@
             return 1;
         }
         logLine(LogLevel::Info, "daemon started", {{"http", settings_.http.toString()}, {"zone", settings_.zone.str()}});
-        signals_.async_wait([this](const boost::system::error_code &, int) { frontEnd_->drain([this] { asio::post(control_, [this] { control_.stop(); }); }); });
+        signals_.async_wait(
+            [this](const boost::system::error_code &, int) { frontEnd_->drain([this] { asio::post(control_, [this] { control_.stop(); }); }); });
         fetchVmList();
         probe();
         tickDispatcher();
--- /dev/null
+++ b/src/load/load_command.cpp
@@ -0,0 +1,115 @@
+#include "load/load_command.h"
+
+#include "load/load_generator.h"
+
+#include <CLI/CLI.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <memory>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+struct LoadOptions {
+    std::vector<std::string> entries;
+    WorkloadOptions workload;
+    LoadTarget target;
+    BookingOptions booking;
+    double seconds = 10;
+    double timeoutSeconds = 60;
+    double crestStartSeconds = 3;
+    double crestSeconds = 3;
+    std::string jsonFile;
+    std::string keyFile;
+    bool isBooking = false;
+};
+
+Duration toDuration(double time)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time));
+}
+
+int runBookingLoad(const LoadOptions &options)
+{
+    const BookingReport report = runBookings(options.booking, options.target);
+    for (const auto &[outcome, count] : report.outcomes) {
+        std::cout << "outcome " << outcome << ": " << count << '\n';
+    }
+    if (!options.keyFile.empty()) {
+        std::ofstream file(options.keyFile);
+        const auto write = [&file](const std::vector<std::string> &keys, std::string_view state) {
+            for (const auto &key : keys) {
+                file << key << ' ' << state << '\n';
+            }
+        };
+        write(report.keysToldCompleted, "completed");
+        write(report.keysToldNotRun, "not-run");
+        write(report.keysToldUnknown, "unknown");
+    }
+    return report.keysToldCompleted.size() == options.booking.calls ? 0 : 1;
+}
+
+int runChatLoad(const LoadOptions &options)
+{
+    const LoadReport report = runLoad(options.workload, options.target);
+    std::cout << report.table();
+    if (!options.jsonFile.empty()) {
+        std::ofstream(options.jsonFile) << report.json() << '\n';
+    }
+    return report.whole() == report.count() && report.wrong() == 0 ? 0 : 1;
+}
+
+int runLoadCommand(LoadOptions &options)
+{
+    for (const auto &text : options.entries) {
+        const auto entry = Endpoint::parse(text);
+        if (!entry.isValid()) {
+            std::cerr << "carawaypoint load: --entry " << text << ": expected address:port\n";
+            return 2;
+        }
+        options.target.entries.push_back(entry);
+    }
+    options.workload.duration = toDuration(options.seconds);
+    options.workload.crestStart = toDuration(options.crestStartSeconds);
+    options.workload.crestLength = toDuration(options.crestSeconds);
+    options.target.timeout = toDuration(options.timeoutSeconds);
+    options.booking.seed = options.workload.seed;
+    return options.isBooking ? runBookingLoad(options) : runChatLoad(options);
+}
+
+}
+
+void addLoadCommand(CLI::App &app, int &exitCode)
+{
+    auto options = std::make_shared<LoadOptions>();
+    auto *load = app.add_subcommand("load", "Send a seeded workload and check every byte of the answers of the engine stand-ins");
+    load->footer("Exit codes: 0 every answer was whole and right, 1 some were not, 2 wrong usage.");
+    load->add_option("--entry", options->entries, "address:port of an entry daemon; several are used in turn")->required();
+    load->add_option("--seed", options->workload.seed, "seed of the workload");
+    load->add_option("--rate", options->workload.rate, "requests a second");
+    load->add_option("--seconds", options->seconds, "length of the workload");
+    load->add_option("--crest-rate", options->workload.crestRate, "requests a second at the crest; 0 for none");
+    load->add_option("--crest-start", options->crestStartSeconds, "second at which the crest begins");
+    load->add_option("--crest-seconds", options->crestSeconds, "length of the crest");
+    load->add_option("--customers", options->workload.customers, "number of customers, named customer-1 and so on");
+    load->add_option("--long-share", options->workload.longShare, "share of long requests, 0 to 1");
+    load->add_option("--short-tokens", options->workload.shortTokens, "tokens of a short answer");
+    load->add_option("--long-tokens", options->workload.longTokens, "tokens of a long answer");
+    load->add_option("--model", options->workload.model, "name of the model");
+    load->add_option("--threads", options->target.threads, "threads that send");
+    load->add_option("--timeout", options->timeoutSeconds, "seconds after which a request is given up");
+    load->add_option("--json", options->jsonFile, "write the report as JSON to this file");
+    load->add_flag("--bookings", options->isBooking, "send non-idempotent calls to a plain service instead of model requests");
+    load->add_option("--calls", options->booking.calls, "number of non-idempotent calls");
+    load->add_option("--callers", options->booking.callers, "callers at the same time");
+    load->add_option("--sends", options->booking.sends, "most times that a call is sent with the same key");
+    load->add_option("--path", options->booking.path, "path of the non-idempotent calls");
+    load->add_option("--keys", options->keyFile, "write each key and what its caller was told to this file");
+    load->callback([options, &exitCode] { exitCode = runLoadCommand(*options); });
+}
+
+}
