Add the harness of the failure tests with real processes

Starts a platform, engines, a service and entry daemons on loopback addresses of its own and speaks to them over their HTTP interfaces. No test uses it yet.

--- /dev/null
+++ b/tests/daemon/test_cluster.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "core/ids.h"
+#include "daemon/local_http.h"
+#include "load/load_generator.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+#include <vector>
+
+namespace carawaypoint
+{
+
+/// A small system of real processes on loopback addresses that no other test uses: a platform, engines of each zone, a booking
+/// service and entry daemons. The destructor ends every process that it started.
+class TestCluster
+{
+public:
+    struct Options {
+        unsigned zones = 3;
+        unsigned daemons = 7;
+        unsigned domainsPerZone = 2;
+        unsigned vmsPerDomain = 5;
+        bool engineChecksFencing = true;
+        unsigned stepMs = 5;
+        unsigned loadMs = 500;
+        unsigned replicasPerZone = 2;
+    };
+
+    explicit TestCluster(const Options &options);
+    ~TestCluster();
+    TestCluster(const TestCluster &) = delete;
+    TestCluster &operator=(const TestCluster &) = delete;
+
+    /// Starts everything, applies the configuration and waits until all replicas serve. Fails the test otherwise.
+    void start();
+
+    /// @name Processes, numbered from 1.
+    /// @{
+    void startDaemon(unsigned number);
+    void signalDaemon(unsigned number, int signal);
+    /// Waits for the end of a daemon and returns its exit status, or -1 after @p limit.
+    int waitForDaemon(unsigned number, Duration limit);
+    /// @}
+
+    Endpoint entry(unsigned daemon) const;
+    Endpoint admin(unsigned daemon) const;
+    Endpoint platform(unsigned zone) const;
+    Endpoint engineControl(unsigned zone) const;
+    Endpoint serviceControl() const;
+    std::vector<Endpoint> entries() const;
+
+    void setPlatformFault(std::string_view json) const;
+    void setEngineFault(unsigned zone, std::string_view json) const;
+    void setServiceFault(std::string_view json) const;
+    /// The audit of the engines of all zones, numbers summed and the longest time kept.
+    boost::json::object engineAudit() const;
+    /// Executions by idempotency key.
+    std::map<std::string, std::uint64_t> bookingExecutions() const;
+    /// `GET /admin/status` of a daemon.
+    boost::json::object status(unsigned daemon) const;
+    /// Replicas that the daemon's status shows as whole.
+    unsigned wholeReplicas(unsigned daemon) const;
+    /// Runs the command line tool with @p arguments and returns its exit code; its output goes to @p output.
+    int runTool(const std::vector<std::string> &arguments, std::string &output) const;
+
+    LoadTarget target() const;
+    const std::string &directory() const
+    {
+        return directory_;
+    }
+    const Options &options() const
+    {
+        return options_;
+    }
+    /// Directory with base.ini and the overlays that start() applied.
+    std::string configDirectory() const
+    {
+        return directory_ + "/config";
+    }
+
+private:
+    unsigned zoneOf(unsigned daemon) const
+    {
+        return (daemon - 1) % options_.zones + 1;
+    }
+    Endpoint at(unsigned zone, unsigned host, unsigned port) const;
+    pid_t spawn(const std::string &name, const std::vector<std::string> &command) const;
+    void startStandins();
+    void writeConfig() const;
+    void applyConfig() const;
+    static void stopProcess(pid_t process);
+
+    Options options_;
+    std::string build_;
+    std::string directory_;
+    unsigned octet_;
+    std::vector<pid_t> standins_;
+    std::map<unsigned, pid_t> daemons_;
+};
+
+/// Polls @p condition until it holds; false after @p limit.
+bool waitUntil(Duration limit, const std::function<bool()> &condition);
+
+}
