--- a/src/core/http_client.h
+++ b/src/core/http_client.h
@@ -19,7 +19,7 @@
 
 struct HttpRequest {
     std::string method = "GET";
-    std::string target; // path and query, already percent-encoded
+    std::string target = "/"; // path and query, already percent-encoded
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     Duration timeout{seconds(2)}; // over waiting for a connection, connecting, sending and the whole answer
--- a/src/engine/http_engine_client.cpp
+++ b/src/engine/http_engine_client.cpp
@@ -60,14 +60,10 @@
     for (const auto &member : order.members) {
         members.emplace_back(member.toString());
     }
-    const json::object body{{"epoch", order.fence.epoch},
-                            {"incarnation", order.fence.incarnation},
-                            {"replica", order.replica.str()},
-                            {"role", json::string_view(RoleNames[static_cast<std::size_t>(order.role)].data())},
-                            {"model", order.model.str()},
-                            {"version", order.version},
-                            {"adapters", std::move(adapters)},
-                            {"members", std::move(members)}};
+    const json::object body{{"epoch", order.fence.epoch},      {"incarnation", order.fence.incarnation},
+                            {"replica", order.replica.str()},  {"role", json::string_view(RoleNames[static_cast<std::size_t>(order.role)].data())},
+                            {"model", order.model.str()},      {"version", order.version},
+                            {"adapters", std::move(adapters)}, {"members", std::move(members)}};
     return json::serialize(body);
 }
 
@@ -168,9 +164,8 @@
 void HttpEngineClient::sendOrder(const Endpoint &engine, const EngineOrder &order, OrderHandler handler)
 {
     HttpRequest request{"POST", "/control/orders", {{"Content-Type", "application/json"}}, orderBody(order), timeout_};
-    client_->send(engine, std::move(request), [handler = std::move(handler)](std::error_code error, const HttpAnswer &answer) {
-        handler(resultOf(error, answer.status));
-    });
+    client_->send(engine, std::move(request),
+                  [handler = std::move(handler)](std::error_code error, const HttpAnswer &answer) { handler(resultOf(error, answer.status)); });
 }
 
 void HttpEngineClient::fetchState(const Endpoint &engine, StateHandler handler)
@@ -211,9 +206,8 @@
 void HttpEngineClient::setDraining(const Endpoint &engine, bool isDraining, OrderHandler handler)
 {
     HttpRequest request{"POST", "/control/drain", {{"Content-Type", "application/json"}}, json::serialize(json::object{{"draining", isDraining}}), timeout_};
-    client_->send(engine, std::move(request), [handler = std::move(handler)](std::error_code error, const HttpAnswer &answer) {
-        handler(resultOf(error, answer.status));
-    });
+    client_->send(engine, std::move(request),
+                  [handler = std::move(handler)](std::error_code error, const HttpAnswer &answer) { handler(resultOf(error, answer.status)); });
 }
 
 }
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -176,20 +176,21 @@
 void HttpObjectStore::fetch(std::string_view kind, std::string_view name, ObjectHandler handler)
 {
     HttpRequest request{"GET", objectTarget(kind, name), {}, {}, timeout_};
-    send(std::move(request), [handler = std::move(handler), kind = std::string(kind), name = std::string(name)](std::error_code error, const HttpAnswer &answer) {
-        if (const auto result = resultOf(error, answer.status)) {
-            handler(result, {});
-            return;
-        }
-        StoredObject object;
-        const auto json = parseJson(answer.body);
-        // An answer about another object would make the caller act on a record that is not its own.
-        if (!json || !readObject(*json, kind, object, false) || object.name != name) {
-            handler(ResultCode::ObjectMalformed, {});
-            return;
-        }
-        handler({}, std::move(object));
-    });
+    send(std::move(request),
+         [handler = std::move(handler), kind = std::string(kind), name = std::string(name)](std::error_code error, const HttpAnswer &answer) {
+             if (const auto result = resultOf(error, answer.status)) {
+                 handler(result, {});
+                 return;
+             }
+             StoredObject object;
+             const auto json = parseJson(answer.body);
+             // An answer about another object would make the caller act on a record that is not its own.
+             if (!json || !readObject(*json, kind, object, false) || object.name != name) {
+                 handler(ResultCode::ObjectMalformed, {});
+                 return;
+             }
+             handler({}, std::move(object));
+         });
 }
 
 void HttpObjectStore::put(std::string_view kind, std::string_view name, std::string value, WriteCondition condition, VersionHandler handler)
@@ -214,8 +215,7 @@
 {
     HttpRequest request{"DELETE", objectTarget(kind, name), {}, {}, timeout_};
     addCondition(request, condition);
-    send(std::move(request),
-         [handler = std::move(handler)](std::error_code error, const HttpAnswer &answer) { handler(resultOf(error, answer.status)); });
+    send(std::move(request), [handler = std::move(handler)](std::error_code error, const HttpAnswer &answer) { handler(resultOf(error, answer.status)); });
 }
 
 void HttpObjectStore::list(std::string_view kind, ListHandler handler)
--- a/src/platform/memory_object_store.cpp
+++ b/src/platform/memory_object_store.cpp
@@ -17,7 +17,9 @@
 template<typename Handler, typename... Results>
 void MemoryObjectStore::answer(Handler handler, std::error_code error, Results... results)
 {
-    auto call = [handler = std::move(handler), error, ... results = std::move(results)] { handler(error, results...); };
+    auto call = [handler = std::move(handler), error, ... results = std::move(results)] {
+        handler(error, results...);
+    };
     if (delay_ == Duration{}) {
         asio::post(executor_, std::move(call));
         return;
@@ -26,8 +28,7 @@
     timer->async_wait([timer, call = std::move(call)](const boost::system::error_code &) { call(); });
 }
 
-std::error_code
-MemoryObjectStore::admitWrite(const std::string &kind, const std::string &name, const WriteCondition &condition, bool &isAnswerLost)
+std::error_code MemoryObjectStore::admitWrite(const std::string &kind, const std::string &name, const WriteCondition &condition, bool &isAnswerLost)
 {
     ++calls_;
     if (isDown_) {
--- /dev/null
+++ b/tests/core/http_client_test.cpp
@@ -0,0 +1,129 @@
+#include "core/http_client.h"
+#include "support/scripted_http_server.h"
+
+#include <gtest/gtest.h>
+
+namespace carawaypoint
+{
+namespace
+{
+
+struct HttpClientTest : testing::Test {
+    void send(HttpClient &client, HttpRequest request)
+    {
+        client.send(server.endpoint(), std::move(request), [this](std::error_code error, const HttpAnswer &answer) {
+            errors.push_back(error);
+            statuses.push_back(answer.status);
+        });
+    }
+
+    /// Runs until @p count handlers were called, and a little longer to see a handler that is called twice.
+    void runUntil(std::size_t count)
+    {
+        while (errors.size() < count && context.run_one_for(seconds(10)) > 0) {
+        }
+        context.run_for(milliseconds(20));
+        EXPECT_EQ(errors.size(), count);
+    }
+
+    boost::asio::io_context context;
+    std::string script = ScriptedHttpServer::answer(200, "ok");
+    ScriptedHttpServer server{context, [this](const auto &) {
+                                  return script;
+                              }};
+    std::vector<std::error_code> errors;
+    std::vector<unsigned> statuses;
+};
+
+// Guards against a new connection for each request, which doubles the cost of every call.
+TEST_F(HttpClientTest, keepsConnections)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).maxConnections(2).build();
+    for (std::size_t round = 1; round <= 5; ++round) {
+        send(*client, {});
+        runUntil(round);
+        EXPECT_FALSE(errors.back());
+    }
+    EXPECT_EQ(server.connections, 1);
+}
+
+// Guards against an unbounded number of connections and of waiting requests.
+TEST_F(HttpClientTest, boundsConnectionsAndWaiting)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).maxConnections(2).maxWaiting(3).build();
+    for (int index = 0; index < 7; ++index) {
+        send(*client, {});
+    }
+    runUntil(7);
+    EXPECT_EQ(std::count(errors.begin(), errors.end(), std::make_error_code(std::errc::no_buffer_space)), 2);
+    EXPECT_EQ(std::count(errors.begin(), errors.end(), std::error_code()), 5);
+    EXPECT_LE(server.connections, 2);
+}
+
+// Guards against callers that wait forever for a silent server, in the queue or on a connection.
+TEST_F(HttpClientTest, timesOutOnSilence)
+{
+    script.clear();
+    const auto client = HttpClient::Builder(context.get_executor()).maxConnections(1).build();
+    HttpRequest request;
+    request.timeout = milliseconds(100);
+    send(*client, request);
+    send(*client, request);
+    runUntil(2);
+    EXPECT_EQ(errors, std::vector<std::error_code>(2, std::make_error_code(std::errc::timed_out)));
+}
+
+// Guards against a write that is repeated on its own after the server may have carried it out.
+TEST_F(HttpClientTest, repeatsOnlyReadsOnLostIdleConnections)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).build();
+    for (const auto &[method, sent] : {std::pair<std::string, std::size_t>{"GET", 2}, {"PUT", 1}}) {
+        errors.clear();
+        script = ScriptedHttpServer::answer(200, "ok");
+        send(*client, {});
+        runUntil(1);
+        script = "close";
+        server.requests.clear();
+        HttpRequest request;
+        request.method = method;
+        send(*client, request);
+        runUntil(2);
+        EXPECT_EQ(errors.back(), std::make_error_code(std::errc::connection_reset));
+        EXPECT_EQ(server.requests.size(), sent) << method;
+    }
+}
+
+// Guards against handlers that are dropped when their client goes away.
+TEST_F(HttpClientTest, answersAllHandlersAfterDestruction)
+{
+    script.clear();
+    auto client = HttpClient::Builder(context.get_executor()).maxConnections(1).build();
+    send(*client, {});
+    send(*client, {});
+    context.run_for(milliseconds(50));
+    client.reset();
+    runUntil(2);
+    EXPECT_EQ(errors, std::vector<std::error_code>(2, std::make_error_code(std::errc::connection_reset)));
+}
+
+// Guards against an answer that is cut, is no HTTP, or grows without bound and is taken as whole.
+TEST_F(HttpClientTest, refusesMalformedAnswers)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).maxAnswerBytes(10).build();
+    for (const std::string_view text :
+         {"nonsense\r\n\r\n", "HTTP/1.1 200 X\r\nContent-Length: 11\r\n\r\n12345678901", "HTTP/1.1 200 X\r\nContent-Length: x\r\n\r\n"}) {
+        errors.clear();
+        script = text;
+        send(*client, {});
+        runUntil(1);
+        EXPECT_EQ(errors.front(), std::make_error_code(std::errc::bad_message)) << text;
+    }
+}
+
+TEST(PercentEncoded, keepsOnlyUnreservedCharacters)
+{
+    EXPECT_EQ(percentEncoded("a.b/c d%\xC3"), "a.b%2Fc%20d%25%C3");
+}
+
+}
+}
