--- /dev/null
+++ b/src/assignment/zone_plan.cpp
@@ -0,0 +1,218 @@
+#include "assignment/zone_plan.h"
+
+#include "assignment/order_rules.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace carawaypoint
+{
+namespace
+{
+
+struct ReplicaRef {
+    FabricDomainId domain;
+    const ReplicaSummary *replica = nullptr;
+};
+
+std::uint32_t missingMembers(const ReplicaSummary &replica)
+{
+    return replica.expected - std::min(replica.expected, replica.live);
+}
+
+ReplicaSummary summarizeReplica(const DomainRecord &record,
+                                const ReplicaEntry &replica,
+                                const VmObservations &observations,
+                                const AssignmentSettings &settings,
+                                TimePoint observedSince,
+                                TimePoint now)
+{
+    ReplicaSummary summary{replica.id, replica.model, replica.expectedMembers, 0, {}, {}, false, false, false};
+    std::uint32_t loaded = 0;
+    for (const auto &member : replica.members) {
+        if (isMissing(member, observations, settings, observedSince, now)) {
+            continue;
+        }
+        ++summary.live;
+        const auto seen = observations.find(member);
+        if (seen == observations.end()) {
+            continue;
+        }
+        const auto &state = seen->second.state;
+        const bool isPlaced = isInPlace(record, *record.vm(member), state);
+        if (isPlaced && state.isLoaded) {
+            ++loaded;
+        } else if (isPlaced && !seen->second.hasWeights(replica.model)) {
+            summary.loading.insert(member);
+        } else if (!isPlaced && !seen->second.hasWeights(replica.model)) {
+            summary.toLoad.insert(member);
+        }
+    }
+    summary.isWhole = loaded == replica.expectedMembers;
+    const auto *target = settings.model(replica.model);
+    summary.isOutdated = target && (target->version != replica.version || target->adapters != replica.adapters);
+    return summary;
+}
+
+bool isSpareUsable(const ReplicaEntry &replica, const VmObservations &observations, const AssignmentSettings &settings, TimePoint observedSince, TimePoint now)
+{
+    return !replica.spare.isEmpty() && !isMissing(replica.spare, observations, settings, observedSince, now);
+}
+
+std::uint32_t freeOf(const DomainSummary &domain, const std::string &pool)
+{
+    const auto found = domain.freeVms.find(pool);
+    return found == domain.freeVms.end() ? 0 : found->second;
+}
+
+void planCreations(std::vector<DomainSummary> &domains, const ModelTarget &target, std::uint32_t count, const AssignmentStrategy &strategy, ZonePlan &plan)
+{
+    for (; count > 0; --count) {
+        std::vector<DomainChoice> choices;
+        for (const auto &domain : domains) {
+            const auto free = freeOf(domain, target.pool);
+            if (free < target.vmsPerReplica) {
+                continue;
+            }
+            const auto same = std::count_if(domain.replicas.begin(), domain.replicas.end(), [&](const auto &replica) { return replica.model == target.model; });
+            const auto planned = plan.create[domain.domain].find(target.model);
+            const auto added = planned == plan.create[domain.domain].end() ? 0 : planned->second;
+            choices.push_back({domain.domain, free, static_cast<std::uint32_t>(same) + added});
+        }
+        if (choices.empty()) {
+            return;
+        }
+        const auto chosen = choices[strategy.chooseDomain(choices, target.vmsPerReplica)].domain;
+        ++plan.create[chosen][target.model];
+        const auto domain = std::find_if(domains.begin(), domains.end(), [&](const auto &summary) { return summary.domain == chosen; });
+        domain->freeVms[target.pool] -= target.vmsPerReplica;
+    }
+}
+
+void planRemovals(std::vector<ReplicaRef> replicas, std::size_t count, ZonePlan &plan)
+{
+    std::sort(replicas.begin(), replicas.end(), [](const ReplicaRef &left, const ReplicaRef &right) {
+        const auto rank = [](const ReplicaRef &ref) { return std::tuple(ref.replica->isCompletable, ref.replica->isWhole, ref.replica->live); };
+        return rank(left) != rank(right) ? rank(left) < rank(right) : right.replica->id < left.replica->id;
+    });
+    for (std::size_t index = 0; index < std::min(count, replicas.size()); ++index) {
+        plan.remove[replicas[index].domain].insert(replicas[index].replica->id);
+    }
+}
+
+void planModel(std::vector<DomainSummary> &domains, const ModelTarget &target, const AssignmentStrategy &strategy, ZonePlan &plan)
+{
+    std::vector<ReplicaRef> all;
+    for (const auto &domain : domains) {
+        for (const auto &replica : domain.replicas) {
+            if (replica.model == target.model) {
+                all.push_back({domain.domain, &replica});
+            }
+        }
+    }
+    const auto completable = static_cast<std::uint32_t>(std::count_if(all.begin(), all.end(), [](const auto &ref) { return ref.replica->isCompletable; }));
+    if (completable >= target.replicas) {
+        planRemovals(all, all.size() - target.replicas, plan);
+    }
+    const auto outdated = std::find_if(all.begin(), all.end(), [](const auto &ref) { return ref.replica->isOutdated; });
+    const auto isReady = [&](const ReplicaRef &ref) { return ref.replica == outdated->replica || !ref.replica->isCompletable || ref.replica->isWhole; };
+    if (outdated != all.end() && std::all_of(all.begin(), all.end(), isReady)) {
+        plan.update[outdated->domain].insert(outdated->replica->id);
+    }
+    if (completable < target.replicas) {
+        planCreations(domains, target, target.replicas - completable, strategy, plan);
+    }
+}
+
+std::set<VmId> planLoads(std::span<const DomainSummary> domains, const AssignmentSettings &settings, const AssignmentStrategy &strategy)
+{
+    std::vector<std::pair<RepairCandidate, const ReplicaSummary *>> waiting;
+    std::size_t used = 0;
+    for (const auto &domain : domains) {
+        for (const auto &replica : domain.replicas) {
+            used += replica.loading.size();
+            // Loads for a replica that cannot become whole would only delay the others.
+            if (!replica.toLoad.empty() && (replica.isCompletable || !strategy.limitsLoads)) {
+                const auto loads = static_cast<std::uint32_t>(replica.loading.size() + replica.toLoad.size());
+                waiting.push_back({{replica.id, missingMembers(replica), loads}, &replica});
+            }
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [&](const auto &left, const auto &right) { return strategy.repairsBefore(left.first, right.first); });
+    std::set<VmId> admitted;
+    for (const auto &[candidate, replica] : waiting) {
+        for (const auto &vm : replica->toLoad) {
+            if (strategy.limitsLoads && used >= settings.loadsAtOnce) {
+                return admitted;
+            }
+            admitted.insert(vm);
+            ++used;
+        }
+    }
+    return admitted;
+}
+
+}
+
+bool isMissing(const VmId &vm, const VmObservations &observations, const AssignmentSettings &settings, TimePoint observedSince, TimePoint now)
+{
+    const auto found = observations.find(vm);
+    const auto lastSign = found == observations.end() ? observedSince : std::max(found->second.seenAt, observedSince);
+    return now - lastSign >= settings.missingAfter;
+}
+
+DomainSummary summarizeDomain(const DomainRecord &record,
+                              std::span<const VmRecord> inventory,
+                              const VmObservations &observations,
+                              const AssignmentSettings &settings,
+                              TimePoint observedSince,
+                              TimePoint now)
+{
+    DomainSummary summary;
+    summary.domain = record.key.domain;
+    const auto missing = [&](const VmId &vm) { return isMissing(vm, observations, settings, observedSince, now); };
+    for (const auto &vm : record.vms) {
+        if (vm.phase == VmPhase::Free && !vm.isDraining && !missing(vm.id)) {
+            ++summary.freeVms[vm.pool];
+        }
+    }
+    for (const auto &vm : inventory) {
+        if (vm.domain == record.key.domain && !vm.isLeaving && !record.vm(vm.id) && !missing(vm.id)) {
+            ++summary.freeVms[vm.pool];
+        }
+    }
+    for (const auto &replica : record.replicas) {
+        auto entry = summarizeReplica(record, replica, observations, settings, observedSince, now);
+        auto lacking = missingMembers(entry);
+        if (lacking > 0 && isSpareUsable(replica, observations, settings, observedSince, now)) {
+            --lacking;
+        }
+        const auto *target = settings.model(replica.model);
+        auto &free = summary.freeVms[target ? target->pool : std::string()];
+        entry.isCompletable = lacking <= free;
+        free -= entry.isCompletable ? lacking : 0;
+        summary.replicas.push_back(std::move(entry));
+    }
+    return summary;
+}
+
+ZonePlan planZone(std::span<const DomainSummary> domains, const AssignmentSettings &settings, const AssignmentStrategy &strategy)
+{
+    ZonePlan plan;
+    std::vector<DomainSummary> working(domains.begin(), domains.end());
+    std::sort(working.begin(), working.end(), [](const auto &left, const auto &right) { return left.domain < right.domain; });
+    for (const auto &target : settings.models) {
+        planModel(working, target, strategy, plan);
+    }
+    for (const auto &domain : working) {
+        for (const auto &replica : domain.replicas) {
+            if (!settings.model(replica.model)) {
+                plan.remove[domain.domain].insert(replica.id);
+            }
+        }
+    }
+    plan.admittedLoads = planLoads(domains, settings, strategy);
+    return plan;
+}
+
+}
