--- /dev/null
+++ b/src/routing/admission_control.cpp
@@ -0,0 +1,132 @@
+#include "routing/admission_control.h"
+
+namespace carawaypoint
+{
+
+namespace
+{
+constexpr const char *DefaultQueue = "short_first";
+constexpr const char *DefaultAdmission = "deadline_shares";
+constexpr Duration DefaultRetryAfter = seconds(1);
+}
+
+AdmissionControl::AdmissionControl()
+    : queueName_(DefaultQueue)
+    , admissionName_(DefaultAdmission)
+    , admission_(makeAdmissionPolicy(DefaultAdmission))
+{
+}
+
+void AdmissionControl::setStrategies(const std::string &queueOrder, const std::string &admission)
+{
+    setQueueOrder(queueOrder);
+    if (admission == admissionName_) {
+        return;
+    }
+    if (auto policy = makeAdmissionPolicy(admission)) {
+        admission_ = std::move(policy);
+        admissionName_ = admission;
+    }
+}
+
+void AdmissionControl::updateShares(const RoutingSnapshot &snapshot, double capacity)
+{
+    accounts_.update(snapshot, capacity);
+}
+
+bool AdmissionControl::isKnown(const CustomerId &customer) const
+{
+    return accounts_.accounts().contains(customer);
+}
+
+Refusal AdmissionControl::checkNew(const RequestRecord &record, TimePoint now)
+{
+    const ModelState &state = stateOf(record.request.model);
+    const CustomerId &customer = record.request.customer;
+    AdmissionInput input;
+    input.untilDeadline = record.request.deadline - now;
+    input.firstTokenTime = Duration(static_cast<Duration::rep>(state.firstTokenTime.value()));
+    input.slotTime = state.slotTime[record.isLong ? 1 : 0].value();
+    input.shortSlotTime = state.slotTime[0].value();
+    input.waiting = static_cast<double>(state.queue->waiting(customer, record.isLong));
+    input.waitingShort = record.isLong ? static_cast<double>(state.queue->waiting(customer, false)) : 0;
+    input.slots = accounts_.expectedSlots(customer);
+    input.usedShare = accounts_.usedShare(customer);
+    input.queued = state.queue->size();
+    const AdmissionVerdict verdict = admission_->check(input);
+    return {verdict.code, verdict.retryAfter};
+}
+
+Refusal AdmissionControl::checkWaiting(const RequestRecord &record, TimePoint now)
+{
+    const Duration left = record.request.deadline - now;
+    if (left < Duration::zero()) {
+        return {ResultCode::DeadlinePassed, DefaultRetryAfter};
+    }
+    const bool isHopeless =
+        admission_->shedsHopeless() && !record.isRetry && static_cast<double>(left.count()) < stateOf(record.request.model).firstTokenTime.value();
+    return isHopeless ? Refusal{ResultCode::DeadlineWouldPass, DefaultRetryAfter} : Refusal{};
+}
+
+void AdmissionControl::push(std::uint64_t ticket, const RequestRecord &record)
+{
+    stateOf(record.request.model).queue->push({ticket, record.request.customer, record.isLong, record.submittedAt, record.request.deadline});
+    accounts_.addWaiting(record.request.customer);
+}
+
+void AdmissionControl::remove(std::uint64_t ticket, const RequestRecord &record)
+{
+    if (stateOf(record.request.model).queue->remove(ticket)) {
+        accounts_.removeWaiting(record.request.customer);
+    }
+}
+
+AdmissionQueue &AdmissionControl::queue(const ModelId &model)
+{
+    return *stateOf(model).queue;
+}
+
+std::vector<ModelId> AdmissionControl::models() const
+{
+    std::vector<ModelId> models;
+    for (const auto &[model, state] : states_) {
+        models.push_back(model);
+    }
+    return models;
+}
+
+void AdmissionControl::noteFirstToken(const ModelId &model, Duration sinceGrant)
+{
+    stateOf(model).firstTokenTime.add(static_cast<double>(sinceGrant.count()));
+}
+
+void AdmissionControl::noteSlotTime(const ModelId &model, bool isLong, Duration held)
+{
+    stateOf(model).slotTime[isLong ? 1 : 0].add(std::chrono::duration<double>(held).count());
+}
+
+AdmissionControl::ModelState &AdmissionControl::stateOf(const ModelId &model)
+{
+    ModelState &state = states_[model];
+    if (!state.queue) {
+        state.queue = makeAdmissionQueue(queueName_);
+    }
+    return state;
+}
+
+void AdmissionControl::setQueueOrder(const std::string &name)
+{
+    if (name == queueName_ || !makeAdmissionQueue(name)) {
+        return;
+    }
+    queueName_ = name;
+    for (auto &[model, state] : states_) {
+        auto queue = makeAdmissionQueue(name);
+        for (const QueueItem &item : state.queue->items()) {
+            queue->push(item);
+        }
+        state.queue = std::move(queue);
+    }
+}
+
+}
--- a/src/routing/admission_queue.cpp
+++ b/src/routing/admission_queue.cpp
@@ -1,38 +1,28 @@
 #include "routing/admission_queue.h"
 
 #include "routing/fifo_queue.h"
-
-#include <algorithm>
-#include <array>
+#include "routing/short_first_queue.h"
+#include "routing/strategy_table.h"
 
 namespace carawaypoint
 {
 
 namespace
 {
-
-using Factory = std::unique_ptr<AdmissionQueue> (*)();
-
-template<typename T>
-std::unique_ptr<AdmissionQueue> make()
-{
-    return std::make_unique<T>();
-}
-
-constexpr std::array Names{std::string_view("fifo")};
-constexpr std::array<Factory, Names.size()> Factories{&make<FifoQueue>};
-
+constexpr StrategyTable<AdmissionQueue, 2> Table{
+    {"fifo", "short_first"},
+    {&makeStrategy<AdmissionQueue, FifoQueue>, &makeStrategy<AdmissionQueue, ShortFirstQueue>},
+};
 }
 
 std::unique_ptr<AdmissionQueue> makeAdmissionQueue(std::string_view name)
 {
-    const auto found = std::find(Names.begin(), Names.end(), name);
-    return found == Names.end() ? nullptr : Factories[static_cast<std::size_t>(found - Names.begin())]();
+    return Table.make(name);
 }
 
 std::span<const std::string_view> admissionQueueNames()
 {
-    return Names;
+    return Table.names;
 }
 
 }
--- a/src/routing/admission_queue.h
+++ b/src/routing/admission_queue.h
@@ -42,13 +42,15 @@
     /// The item to serve next, skipping the tickets in @p blocked and, with @p isLongBlocked, all long work; null when none.
     /// When the item cannot be placed, @p blocked or @p isLongBlocked tell so in the next call.
     virtual const QueueItem *next(TimePoint now, const ShareView &shares, std::span<const std::uint64_t> blocked, bool isLongBlocked) const = 0;
-    /// Whether the queue may pass over an item that cannot be placed.
+    /// Whether other items may be served while one finds no replica with room.
     virtual bool mayPassOver() const = 0;
     /// Tickets whose deadline is before @p now.
     virtual std::vector<std::uint64_t> expired(TimePoint now) const = 0;
+    /// All waiting requests, oldest first within each customer and class.
+    virtual std::vector<QueueItem> items() const = 0;
     virtual std::size_t size() const = 0;
-    /// Waiting requests of @p customer.
-    virtual std::size_t waiting(const CustomerId &customer) const = 0;
+    /// Requests that a new one of @p customer with that length waits for within its class.
+    virtual std::size_t waiting(const CustomerId &customer, bool isLong) const = 0;
 };
 
 /// Creates the queue of that name; null when there is none.
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -42,6 +42,19 @@
     std::vector<std::string> considered; // replicas with their estimated load, for the decision log
 };
 
+/// What is known of an engine's prefix cache from its cache events.
+struct CacheUpdate {
+    struct Change {
+        std::uint64_t sequence = 0;
+        std::uint64_t prefixHash = 0;
+        bool isEvicted = false;
+    };
+
+    bool isComplete = false; // the changes list the whole cache, as after a request for the events after 0
+    std::uint64_t lastSequence = 0;
+    std::vector<Change> changes;
+};
+
 /// How an attempt ended.
 enum class AttemptOutcome : std::uint8_t {
     Completed,
@@ -90,6 +103,13 @@
     virtual std::vector<std::uint64_t> takeCrashSuspects() = 0;
     /// A peer suspects @p fingerprint of a crash.
     virtual void addPeerCrashSuspect(std::uint64_t fingerprint) = 0;
+
+    /// Takes over changes of a replica's prefix cache as hints for the choice of replica. False after a gap in the
+    /// sequence: the caller then fetches a complete update, and the old hints stay in use until it arrives.
+    virtual bool applyCacheUpdate(const ReplicaId &, std::uint64_t /*incarnation*/, const CacheUpdate &)
+    {
+        return true;
+    }
 };
 
 /// Creates the dispatcher; @p seed drives its random choices.
--- a/src/routing/fifo_queue.cpp
+++ b/src/routing/fifo_queue.cpp
@@ -21,9 +21,14 @@
     return true;
 }
 
-const QueueItem *FifoQueue::next(TimePoint, const ShareView &, std::span<const std::uint64_t>, bool) const
+const QueueItem *FifoQueue::next(TimePoint, const ShareView &, std::span<const std::uint64_t> blocked, bool) const
 {
-    return items_.empty() ? nullptr : &items_.front();
+    for (const QueueItem &item : items_) {
+        if (std::find(blocked.begin(), blocked.end(), item.ticket) == blocked.end()) {
+            return &item;
+        }
+    }
+    return nullptr;
 }
 
 bool FifoQueue::mayPassOver() const
@@ -42,14 +47,19 @@
     return tickets;
 }
 
+std::vector<QueueItem> FifoQueue::items() const
+{
+    return {items_.begin(), items_.end()};
+}
+
 std::size_t FifoQueue::size() const
 {
     return items_.size();
 }
 
-std::size_t FifoQueue::waiting(const CustomerId &customer) const
+std::size_t FifoQueue::waiting(const CustomerId &, bool isLong) const
 {
-    return static_cast<std::size_t>(std::count_if(items_.begin(), items_.end(), [&](const QueueItem &item) { return item.customer == customer; }));
+    return static_cast<std::size_t>(std::count_if(items_.begin(), items_.end(), [isLong](const QueueItem &item) { return item.isLong == isLong; }));
 }
 
 }
--- a/src/routing/fifo_queue.h
+++ b/src/routing/fifo_queue.h
@@ -17,8 +17,9 @@
     const QueueItem *next(TimePoint now, const ShareView &shares, std::span<const std::uint64_t> blocked, bool isLongBlocked) const override;
     bool mayPassOver() const override;
     std::vector<std::uint64_t> expired(TimePoint now) const override;
+    std::vector<QueueItem> items() const override;
     std::size_t size() const override;
-    std::size_t waiting(const CustomerId &customer) const override;
+    std::size_t waiting(const CustomerId &customer, bool isLong) const override;
 
 private:
     std::list<QueueItem> items_;
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -8,13 +8,13 @@
 
 namespace
 {
-constexpr std::string_view DefaultChooser = "least_requests";
-constexpr std::string_view DefaultQueue = "fifo";
 // A caller that wants another attempt asks at once; the record of a failed one is kept a little longer than that.
 constexpr Duration FinishedRetention = seconds(30);
 // A stream that breaks after its first token has no first-token deadline any more; it may wait this long to go on.
 constexpr Duration ResumeWait = seconds(2);
 constexpr Duration DefaultRetryAfter = seconds(1);
+// Part of a replica's slots that customers above their share leave free for the others.
+constexpr double OverShareHeadroom = 1.0 / 16;
 }
 
 std::unique_ptr<Dispatcher> makeDispatcher(const Clock &clock, std::uint64_t seed)
@@ -24,10 +24,7 @@
 
 LocalDispatcher::LocalDispatcher(const Clock &clock, std::uint64_t seed)
     : clock_(clock)
-    , random_(seed)
-    , chooserName_(DefaultChooser)
-    , queueName_(DefaultQueue)
-    , chooser_(makeReplicaChooser(DefaultChooser))
+    , selector_(seed)
 {
 }
 
@@ -44,6 +41,7 @@
     Ticket ticket = 0;
     {
         const std::lock_guard lock(mutex_);
+        retryBudget_.addRequest();
         RequestRecord record;
         record.request = request;
         record.handler = std::move(handler);
@@ -60,7 +58,8 @@
     if (found == records_.end() || found->second.state != RequestRecord::State::Waiting) {
         return false;
     }
-    queueOf(found->second.request.model).remove(ticket);
+    admission_.remove(ticket, found->second);
+    SuspectPlacer::abandon(found->second);
     records_.erase(found);
     return true;
 }
@@ -71,20 +70,17 @@
     Ticket next = 0;
     {
         const std::lock_guard lock(mutex_);
-        const TimePoint now = clock_.now();
         const auto found = records_.find(ticket);
         if (found == records_.end() || found->second.state == RequestRecord::State::Waiting) {
-            DispatchDecision decision;
-            decision.code = ResultCode::Internal;
-            decision.reason = "resubmission of an unknown ticket";
-            calls.push_back({std::move(handler), std::move(decision)});
-            next = ++lastTicket_;
+            next = refuseNew(std::move(handler), {ResultCode::Internal, {}}, calls);
+        } else if (!retryBudget_.takeRetry()) {
+            next = refuseNew(std::move(handler), {ResultCode::RetryBudgetExhausted, DefaultRetryAfter}, calls);
         } else {
-            release(found->second, now);
+            release(ticket, found->second);
             RequestRecord record;
             record.request = std::move(found->second.request);
             if (found->second.tokens > 0) {
-                record.request.deadline = std::max(record.request.deadline, now + ResumeWait);
+                record.request.deadline = std::max(record.request.deadline, clock_.now() + ResumeWait);
             }
             record.handler = std::move(handler);
             record.excluded.assign(excluded.begin(), excluded.end());
@@ -101,11 +97,23 @@
 {
     const std::lock_guard lock(mutex_);
     const auto found = records_.find(ticket);
-    if (found == records_.end() || found->second.state != RequestRecord::State::Granted) {
+    if (found == records_.end() || found->second.state != RequestRecord::State::Granted || tokens <= found->second.tokens) {
         return;
     }
-    found->second.tokens = std::max(found->second.tokens, tokens);
-    found->second.lastProgressAt = clock_.now();
+    RequestRecord &record = found->second;
+    const TimePoint now = clock_.now();
+    if (record.tokens == 0) {
+        admission_.noteFirstToken(record.request.model, now - record.grantedAt);
+    } else {
+        ejector_.addTokenTime(record.entry->id(), (now - record.lastProgressAt) / (tokens - record.tokens));
+    }
+    record.tokens = tokens;
+    record.lastProgressAt = now;
+    if (!record.isLong && tokens >= predictor_.longThreshold(record.request.model)) {
+        record.isLong = true;
+        record.isReclassified = true;
+        record.entry->reclassifyAsLong(now);
+    }
 }
 
 void LocalDispatcher::finish(Ticket ticket, AttemptOutcome outcome, std::uint32_t tokens)
@@ -117,9 +125,11 @@
         if (found == records_.end() || found->second.state != RequestRecord::State::Granted) {
             return;
         }
-        found->second.tokens = std::max(found->second.tokens, tokens);
-        release(found->second, clock_.now());
-        const ModelId model = found->second.request.model;
+        RequestRecord &record = found->second;
+        record.tokens = std::max(record.tokens, tokens);
+        noteOutcome(record, outcome);
+        release(ticket, record);
+        const ModelId model = record.request.model;
         if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Cancelled) {
             records_.erase(found);
         }
@@ -138,6 +148,12 @@
         }
         applyPolicy(snapshot->policy);
         book_.setSnapshot(std::move(snapshot), clock_.now());
+        updateShares();
+        std::unordered_set<std::uint64_t> replicas;
+        for (const auto &[id, entry] : book_.entries()) {
+            replicas.insert(entry->idHash());
+        }
+        selector_.prefixes().keepOnly(replicas);
         pumpAll(calls);
     }
     deliver(calls);
@@ -148,7 +164,13 @@
     Calls calls;
     {
         const std::lock_guard lock(mutex_);
+        if (!book_.snapshot()) {
+            return;
+        }
+        evaluateOutliers();
         book_.refresh(clock_.now());
+        updateShares();
+        quarantine_.expire(clock_.now());
         refuseExpired(calls);
         forgetFinished();
         pumpAll(calls);
@@ -166,14 +188,12 @@
 Dispatcher::Demand LocalDispatcher::demand() const
 {
     const std::lock_guard lock(mutex_);
-    std::unordered_map<CustomerId, double> wanted;
-    for (const auto &[ticket, record] : records_) {
-        if (record.state != RequestRecord::State::Finished) {
-            wanted[record.request.customer] += 1;
+    Demand demand;
+    for (const auto &[customer, account] : admission_.accounts().accounts()) {
+        if (account.demand() > 0) {
+            demand.customers.emplace_back(customer, account.demand());
         }
     }
-    Demand demand;
-    demand.customers.assign(wanted.begin(), wanted.end());
     for (const auto &[id, entry] : book_.entries()) {
         if (entry->inFlight() > 0) {
             demand.inFlight.emplace_back(id, entry->inFlight());
@@ -184,53 +204,84 @@
 
 std::vector<std::uint64_t> LocalDispatcher::takeCrashSuspects()
 {
-    return {};
+    const std::lock_guard lock(mutex_);
+    return quarantine_.takeNewSuspects();
 }
 
-void LocalDispatcher::addPeerCrashSuspect(std::uint64_t)
+void LocalDispatcher::addPeerCrashSuspect(std::uint64_t fingerprint)
 {
+    const std::lock_guard lock(mutex_);
+    quarantine_.addPeerCrash(fingerprint, clock_.now());
+}
+
+bool LocalDispatcher::applyCacheUpdate(const ReplicaId &replica, std::uint64_t incarnation, const CacheUpdate &update)
+{
+    const std::lock_guard lock(mutex_);
+    const ReplicaBook::EntryPtr entry = book_.find(replica);
+    if (!entry || entry->incarnation() != incarnation) {
+        return true;
+    }
+    return selector_.prefixes().apply(entry->idHash(), incarnation, update);
 }
 
 Dispatcher::Ticket LocalDispatcher::enqueue(RequestRecord record, Calls &calls)
 {
-    const Ticket ticket = ++lastTicket_;
     const TimePoint now = clock_.now();
     record.submittedAt = now;
-    const ResultCode refusal = refusalOf(record);
-    const auto &[position, inserted] = records_.emplace(ticket, std::move(record));
-    if (refusal != ResultCode::Ok) {
-        refuse(ticket, refusal, resultCodeName(refusal), calls);
-        return ticket;
-    }
-    const ModelRequest &request = position->second.request;
-    queueOf(request.model).push({ticket, request.customer, position->second.isLong, now, request.deadline});
-    pump(ModelId(request.model), calls);
+    record.isLong = predictor_.predict(record.request).isLong;
+    const Refusal refusal = refusalOf(record);
+    if (refusal.code != ResultCode::Ok) {
+        return refuseNew(std::move(record.handler), refusal, calls);
+    }
+    const Ticket ticket = ++lastTicket_;
+    const ModelId model = record.request.model;
+    const bool isNewCustomer = !admission_.isKnown(record.request.customer);
+    admission_.push(ticket, record);
+    if (isNewCustomer) {
+        updateShares();
+    }
+    records_.emplace(ticket, std::move(record));
+    pump(model, calls);
     return ticket;
 }
 
-ResultCode LocalDispatcher::refusalOf(const RequestRecord &record) const
+Dispatcher::Ticket LocalDispatcher::refuseNew(GrantHandler handler, const Refusal &refusal, Calls &calls)
+{
+    DispatchDecision decision;
+    decision.code = refusal.code;
+    decision.retryAfter = refusal.retryAfter;
+    decision.reason = resultCodeName(refusal.code);
+    calls.push_back({std::move(handler), std::move(decision)});
+    return ++lastTicket_;
+}
+
+Refusal LocalDispatcher::refusalOf(const RequestRecord &record)
 {
     const RoutingSnapshot *snapshot = book_.snapshot();
     if (!snapshot) {
-        return ResultCode::NotReady;
+        return {ResultCode::NotReady, DefaultRetryAfter};
     }
     const ModelId &model = record.request.model;
     const bool isKnown = std::any_of(snapshot->models.begin(), snapshot->models.end(), [&](const ModelView &view) { return view.id == model; })
         || std::any_of(snapshot->replicas.begin(), snapshot->replicas.end(), [&](const ReplicaView &view) { return view.model == model; });
     if (!isKnown) {
-        return ResultCode::UnknownModel;
+        return {ResultCode::UnknownModel, {}};
+    }
+    if (quarantine_.isQuarantined(record.request.fingerprint)) {
+        return {ResultCode::RequestQuarantined, {}};
+    }
+    if (record.request.deadline < clock_.now()) {
+        return {ResultCode::DeadlinePassed, DefaultRetryAfter};
     }
-    return record.request.deadline < clock_.now() ? ResultCode::DeadlinePassed : ResultCode::Ok;
+    return record.isRetry ? Refusal{} : admission_.checkNew(record, clock_.now());
 }
 
-void LocalDispatcher::refuse(Ticket ticket, ResultCode code, std::string_view reason, Calls &calls)
+void LocalDispatcher::refuseWaiting(Ticket ticket, const Refusal &refusal, Calls &calls)
 {
     const auto found = records_.find(ticket);
-    DispatchDecision decision;
-    decision.code = code;
-    decision.reason = reason;
-    decision.retryAfter = DefaultRetryAfter;
-    calls.push_back({std::move(found->second.handler), std::move(decision)});
+    admission_.remove(ticket, found->second);
+    SuspectPlacer::abandon(found->second);
+    refuseNew(std::move(found->second.handler), refusal, calls);
     records_.erase(found);
 }
 
@@ -238,85 +289,137 @@
 {
     RequestRecord &record = records_.at(ticket);
     const TimePoint now = clock_.now();
+    DispatchDecision decision;
+    for (const ReplicaEntry *entry : choice.considered) {
+        decision.considered.push_back(entry->id().str() + "=" + std::to_string(std::lround(selector_.load(*entry))));
+    }
+    decision.priority = priorityOf(record);
+    admission_.remove(ticket, record);
+    admission_.accounts().addInFlight(record.request.customer);
     record.entry = book_.find(choice.entry->id());
     record.entry->addInFlight(record.isLong, now);
+    if (quarantine_.isSuspect(record.request.fingerprint)) {
+        SuspectPlacer::start(record, quarantine_);
+    }
+    selector_.prefixes().addSent(record.entry->idHash(), record.request.prefixHashes);
     record.state = RequestRecord::State::Granted;
     record.grantedAt = now;
     record.lastProgressAt = now;
-
-    DispatchDecision decision;
     decision.replica = record.entry->id();
     decision.incarnation = record.entry->incarnation();
     decision.leader = record.entry->view()->leader;
     decision.isLongWork = record.isLong;
     decision.reason = choice.reason;
-    for (const ReplicaEntry *entry : choice.considered) {
-        decision.considered.push_back(entry->id().str() + "=" + std::to_string(std::lround(chooser_->load(*entry))));
-    }
     calls.push_back({std::move(record.handler), std::move(decision)});
 }
 
-void LocalDispatcher::release(RequestRecord &record, TimePoint now)
+void LocalDispatcher::release(Ticket ticket, RequestRecord &record)
 {
     if (record.state != RequestRecord::State::Granted) {
         return;
     }
+    const TimePoint now = clock_.now();
     record.entry->removeInFlight(record.isLong, now);
+    if (record.isSuspect) {
+        SuspectPlacer::stop(record, quarantine_);
+    }
+    admission_.accounts().removeInFlight(record.request.customer);
     record.state = RequestRecord::State::Finished;
-    record.finishedAt = now;
+    finished_.emplace_back(now, ticket);
+}
+
+void LocalDispatcher::noteOutcome(RequestRecord &record, AttemptOutcome outcome)
+{
+    const TimePoint now = clock_.now();
+    switch (outcome) {
+    case AttemptOutcome::Completed:
+        predictor_.observe(record.request, record.tokens);
+        admission_.noteSlotTime(record.request.model, record.isLong, now - record.grantedAt);
+        quarantine_.clear(record.request.fingerprint);
+        break;
+    case AttemptOutcome::ReplicaLost:
+        quarantine_.addCrash(record.request.fingerprint, record.entry->id(), record.entry->incarnation(), record.entry->noteLoss(now), now);
+        break;
+    case AttemptOutcome::Stalled:
+        ejector_.addStall(record.entry->id());
+        break;
+    case AttemptOutcome::Refused:
+    case AttemptOutcome::Cancelled:
+        break;
+    }
 }
 
 void LocalDispatcher::refuseExpired(Calls &calls)
 {
-    for (auto &[model, queue] : queues_) {
-        for (const Ticket ticket : queue->expired(clock_.now())) {
-            queue->remove(ticket);
-            const bool hasReplica = !book_.eligible(model).empty();
-            refuse(ticket, hasReplica ? ResultCode::DeadlinePassed : ResultCode::NoReplicaAvailable, "deadline passed while waiting", calls);
+    for (const ModelId &model : admission_.models()) {
+        for (const Ticket ticket : admission_.queue(model).expired(clock_.now())) {
+            const bool hasReplica = book_.pool(model).size() > 0;
+            refuseWaiting(ticket, {hasReplica ? ResultCode::DeadlinePassed : ResultCode::NoReplicaAvailable, DefaultRetryAfter}, calls);
         }
     }
 }
 
 void LocalDispatcher::forgetFinished()
+{
+    while (!finished_.empty() && clock_.now() - finished_.front().first > FinishedRetention) {
+        records_.erase(finished_.front().second);
+        finished_.pop_front();
+    }
+}
+
+void LocalDispatcher::evaluateOutliers()
 {
     const TimePoint now = clock_.now();
-    std::erase_if(records_,
-                  [&](const auto &item) { return item.second.state == RequestRecord::State::Finished && now - item.second.finishedAt > FinishedRetention; });
+    if (!ejector_.isEvaluationDue(now)) {
+        return;
+    }
+    for (const auto &[model, pool] : book_.pools()) {
+        std::vector<ReplicaId> ids;
+        for (const auto *zone : {&pool.ownZone, &pool.otherZones}) {
+            std::transform(zone->begin(), zone->end(), std::back_inserter(ids), [](const ReplicaEntry *entry) { return entry->id(); });
+        }
+        ejector_.evaluate(ids, now);
+    }
+    for (const auto &[id, entry] : book_.entries()) {
+        entry->setWeight(ejector_.weight(id));
+    }
+    ejector_.finishEvaluation(now);
+}
+
+void LocalDispatcher::updateShares()
+{
+    admission_.updateShares(*book_.snapshot(), book_.capacity());
 }
 
 void LocalDispatcher::pumpAll(Calls &calls)
 {
-    for (const auto &[model, queue] : queues_) {
+    for (const ModelId &model : admission_.models()) {
         pump(model, calls);
     }
 }
 
 void LocalDispatcher::pump(const ModelId &model, Calls &calls)
 {
-    AdmissionQueue &queue = queueOf(model);
-    const TimePoint now = clock_.now();
+    AdmissionQueue &queue = admission_.queue(model);
     std::vector<Ticket> blocked;
     bool isLongBlocked = false;
-    while (const QueueItem *item = queue.next(now, *this, blocked, isLongBlocked)) {
+    while (const QueueItem *item = queue.next(clock_.now(), admission_.accounts(), blocked, isLongBlocked)) {
         const Ticket ticket = item->ticket;
-        if (item->deadline < now) {
-            queue.remove(ticket);
-            refuse(ticket, ResultCode::DeadlinePassed, "deadline passed while waiting", calls);
+        RequestRecord &record = records_.at(ticket);
+        const Refusal refusal = waitingRefusal(record);
+        if (refusal.code != ResultCode::Ok) {
+            refuseWaiting(ticket, refusal, calls);
             continue;
         }
-        const RequestRecord &record = records_.at(ticket);
-        const Choice choice = chooseFor(record);
+        const double keepFree = admission_.accounts().usedShare(record.request.customer) < 1 ? 0 : OverShareHeadroom;
+        const Choice choice = selector_.select(record, book_, quarantine_, keepFree, clock_.now());
         if (choice.entry) {
-            queue.remove(ticket);
             grant(ticket, choice, calls);
-            continue;
-        }
-        if (!queue.mayPassOver()) {
-            return;
-        }
-        if (!record.excluded.empty()) {
+        } else if (!record.excluded.empty() || quarantine_.isSuspect(record.request.fingerprint)) {
             blocked.push_back(ticket);
-        } else if (item->isLong) {
+        } else if (!queue.mayPassOver()) {
+            return;
+        } else if (record.isLong) {
             isLongBlocked = true;
         } else {
             return;
@@ -324,43 +427,25 @@
     }
 }
 
-Choice LocalDispatcher::chooseFor(const RequestRecord &record)
-{
-    const TimePoint now = clock_.now();
-    candidates_.clear();
-    for (ReplicaEntry *entry : book_.eligible(record.request.model)) {
-        const bool isExcluded = std::find(record.excluded.begin(), record.excluded.end(), entry->id()) != record.excluded.end();
-        if (!isExcluded && book_.isEligible(*entry, now)) {
-            candidates_.push_back(entry);
-        }
-    }
-    const ChoiceRequest request{
-        .request = record.request, .isLong = record.isLong, .ownZone = book_.snapshot()->zone, .daemons = book_.snapshot()->daemonsInZone};
-    return chooser_->choose(candidates_, request, random_);
-}
-
-void LocalDispatcher::applyPolicy(const RoutingPolicy &policy)
+Refusal LocalDispatcher::waitingRefusal(const RequestRecord &record)
 {
-    if (policy.replicaChoice != chooserName_) {
-        if (auto chooser = makeReplicaChooser(policy.replicaChoice)) {
-            chooser_ = std::move(chooser);
-            chooserName_ = policy.replicaChoice;
-        }
+    if (quarantine_.isQuarantined(record.request.fingerprint)) {
+        return {ResultCode::RequestQuarantined, {}};
     }
+    return admission_.checkWaiting(record, clock_.now());
 }
 
-AdmissionQueue &LocalDispatcher::queueOf(const ModelId &model)
+std::uint32_t LocalDispatcher::priorityOf(const RequestRecord &record) const
 {
-    auto &queue = queues_[model];
-    if (!queue) {
-        queue = makeAdmissionQueue(queueName_);
-    }
-    return *queue;
+    // Customers within their share first, then short work first.
+    return (admission_.accounts().usedShare(record.request.customer) < 1 ? 0 : 2) + (record.isLong ? 1 : 0);
 }
 
-double LocalDispatcher::usedShare(const CustomerId &) const
+void LocalDispatcher::applyPolicy(const RoutingPolicy &policy)
 {
-    return 0;
+    selector_.setStrategy(policy.replicaChoice);
+    retryBudget_.setShare(policy.retryBudgetShare);
+    admission_.setStrategies(policy.queueOrder, policy.admission);
 }
 
 }
--- a/src/routing/local_dispatcher.h
+++ b/src/routing/local_dispatcher.h
@@ -1,11 +1,16 @@
 #pragma once
 
-#include "routing/admission_queue.h"
+#include "routing/admission_control.h"
 #include "routing/dispatcher.h"
+#include "routing/outlier_ejector.h"
+#include "routing/quarantine.h"
 #include "routing/replica_book.h"
-#include "routing/replica_chooser.h"
+#include "routing/replica_selector.h"
 #include "routing/request_record.h"
+#include "routing/retry_budget.h"
+#include "routing/work_predictor.h"
 
+#include <deque>
 #include <mutex>
 #include <unordered_map>
 
@@ -13,7 +18,7 @@
 {
 
 /// The dispatcher of a daemon: combines the strategies that the snapshot's policy selects.
-class LocalDispatcher : public Dispatcher, private ShareView
+class LocalDispatcher : public Dispatcher
 {
 public:
     LocalDispatcher(const Clock &clock, std::uint64_t seed);
@@ -29,6 +34,7 @@
     Demand demand() const override;
     std::vector<std::uint64_t> takeCrashSuspects() override;
     void addPeerCrashSuspect(std::uint64_t fingerprint) override;
+    bool applyCacheUpdate(const ReplicaId &replica, std::uint64_t incarnation, const CacheUpdate &update) override;
 
 private:
     /// A handler with its argument, to be called after the mutex was released.
@@ -37,35 +43,38 @@
         DispatchDecision decision;
     };
     using Calls = std::vector<Call>;
-    using Records = std::unordered_map<Ticket, RequestRecord>;
 
     static void deliver(Calls &calls);
 
     Ticket enqueue(RequestRecord record, Calls &calls);
-    ResultCode refusalOf(const RequestRecord &record) const;
-    void refuse(Ticket ticket, ResultCode code, std::string_view reason, Calls &calls);
+    Ticket refuseNew(GrantHandler handler, const Refusal &refusal, Calls &calls);
+    Refusal refusalOf(const RequestRecord &record);
+    void refuseWaiting(Ticket ticket, const Refusal &refusal, Calls &calls);
     void grant(Ticket ticket, const Choice &choice, Calls &calls);
-    void release(RequestRecord &record, TimePoint now);
+    void release(Ticket ticket, RequestRecord &record);
+    void noteOutcome(RequestRecord &record, AttemptOutcome outcome);
     void refuseExpired(Calls &calls);
     void forgetFinished();
+    void evaluateOutliers();
+    void updateShares();
     void pumpAll(Calls &calls);
     void pump(const ModelId &model, Calls &calls);
-    Choice chooseFor(const RequestRecord &record);
+    Refusal waitingRefusal(const RequestRecord &record);
+    std::uint32_t priorityOf(const RequestRecord &record) const;
     void applyPolicy(const RoutingPolicy &policy);
-    AdmissionQueue &queueOf(const ModelId &model);
-    double usedShare(const CustomerId &customer) const override;
 
     const Clock &clock_;
     mutable std::mutex mutex_; // guards everything below
-    RandomGenerator random_;
     Ticket lastTicket_ = 0;
-    std::string chooserName_;
-    std::string queueName_;
-    std::unique_ptr<ReplicaChooser> chooser_;
     ReplicaBook book_;
-    Records records_;
-    std::unordered_map<ModelId, std::unique_ptr<AdmissionQueue>> queues_;
-    std::vector<ReplicaEntry *> candidates_; // scratch of chooseFor()
+    ReplicaSelector selector_;
+    AdmissionControl admission_;
+    WorkPredictor predictor_;
+    RetryBudget retryBudget_;
+    Quarantine quarantine_;
+    OutlierEjector ejector_;
+    std::unordered_map<Ticket, RequestRecord> records_;
+    std::deque<std::pair<TimePoint, Ticket>> finished_; // oldest first
 };
 
 }
--- a/src/routing/replica_book.cpp
+++ b/src/routing/replica_book.cpp
@@ -2,9 +2,34 @@
 
 #include "routing/eligibility.h"
 
+#include <algorithm>
+
 namespace carawaypoint
 {
 
+namespace
+{
+
+double meanLoad(const std::vector<ReplicaEntry *> &entries)
+{
+    double sum = 0;
+    for (const ReplicaEntry *entry : entries) {
+        sum += (entry->estimatedLoad() + 1) / entry->slots();
+    }
+    return entries.empty() ? 0 : sum / static_cast<double>(entries.size());
+}
+
+double slotsOf(const std::vector<ReplicaEntry *> &entries)
+{
+    double sum = 0;
+    for (const ReplicaEntry *entry : entries) {
+        sum += entry->slots() * entry->weight();
+    }
+    return sum;
+}
+
+}
+
 void ReplicaBook::setSnapshot(RoutingSnapshotPtr snapshot, TimePoint now)
 {
     std::unordered_map<ReplicaId, EntryPtr> entries;
@@ -13,14 +38,12 @@
         const auto known = entries_.find(view.id);
         const bool isSame = known != entries_.end() && known->second->incarnation() == view.incarnation;
         EntryPtr entry = isSame ? known->second : std::make_shared<ReplicaEntry>(view);
-        if (known != entries_.end() && !isSame) {
-            known->second->detach();
-        }
         entry->update(view, snapshot->isPeerExchangeFresh);
         entries.insert_or_assign(view.id, std::move(entry));
     }
     for (const auto &[id, entry] : entries_) {
-        if (!entries.contains(id)) {
+        const auto kept = entries.find(id);
+        if (kept == entries.end() || kept->second != entry) {
             entry->detach();
         }
     }
@@ -31,28 +54,40 @@
 
 void ReplicaBook::refresh(TimePoint now)
 {
-    for (auto &[model, list] : eligible_) {
-        list.clear();
+    for (auto &[model, pool] : pools_) {
+        pool.ownZone.clear();
+        pool.otherZones.clear();
     }
     if (!snapshot_) {
         return;
     }
     for (const ReplicaView &view : snapshot_->replicas) {
-        if (isReplicaEligible(view, now, snapshot_->policy.observationBound)) {
-            eligible_[view.model].push_back(entries_.at(view.id).get());
+        ReplicaEntry *entry = entries_.at(view.id).get();
+        if (isEligible(*entry, now)) {
+            ReplicaPool &pool = pools_[view.model];
+            (view.zone == snapshot_->zone ? pool.ownZone : pool.otherZones).push_back(entry);
         }
     }
+    for (auto &[model, pool] : pools_) {
+        pool.ownZoneLoad = meanLoad(pool.ownZone);
+        pool.otherZonesLoad = meanLoad(pool.otherZones);
+    }
 }
 
-std::span<ReplicaEntry *const> ReplicaBook::eligible(const ModelId &model) const
+const ReplicaPool &ReplicaBook::pool(const ModelId &model) const
 {
-    const auto found = eligible_.find(model);
-    return found == eligible_.end() ? std::span<ReplicaEntry *const>() : std::span<ReplicaEntry *const>(found->second);
+    static const ReplicaPool Empty;
+    const auto found = pools_.find(model);
+    return found == pools_.end() ? Empty : found->second;
 }
 
 bool ReplicaBook::isEligible(const ReplicaEntry &entry, TimePoint now) const
 {
-    return entry.view() != nullptr && isReplicaEligible(*entry.view(), now, snapshot_->policy.observationBound);
+    const ReplicaView *view = entry.view();
+    if (!view || !isReplicaEligible(*view, now, snapshot_->policy.observationBound)) {
+        return false;
+    }
+    return std::all_of(view->members.begin(), view->members.end(), [&](const ReplicaMemberView &member) { return member.lastSeen > entry.lostAt(); });
 }
 
 ReplicaBook::EntryPtr ReplicaBook::find(const ReplicaId &id) const
@@ -61,4 +96,15 @@
     return found == entries_.end() ? nullptr : found->second;
 }
 
+double ReplicaBook::capacity() const
+{
+    double own = 0;
+    double others = 0;
+    for (const auto &[model, pool] : pools_) {
+        own += slotsOf(pool.ownZone);
+        others += slotsOf(pool.otherZones);
+    }
+    return own > 0 ? own : others;
+}
+
 }
--- a/src/routing/replica_book.h
+++ b/src/routing/replica_book.h
@@ -3,13 +3,25 @@
 #include "routing/replica_entry.h"
 
 #include <memory>
-#include <span>
 #include <unordered_map>
 #include <vector>
 
 namespace carawaypoint
 {
 
+/// Eligible replicas of one model.
+struct ReplicaPool {
+    std::vector<ReplicaEntry *> ownZone;
+    std::vector<ReplicaEntry *> otherZones;
+    double ownZoneLoad = 0; // mean of (requests + 1) / slots
+    double otherZonesLoad = 0;
+
+    std::size_t size() const
+    {
+        return ownZone.size() + otherZones.size();
+    }
+};
+
 /// The replicas of the current snapshot with this daemon's counts, and the eligible ones of each model.
 class ReplicaBook
 {
@@ -23,11 +35,15 @@
         return snapshot_.get();
     }
 
-    /// Determines anew which replicas are eligible at @p now.
+    /// Determines anew which replicas are eligible at @p now, and their mean load.
     void refresh(TimePoint now);
     /// Eligible replicas of @p model as of the last refresh.
-    std::span<ReplicaEntry *const> eligible(const ModelId &model) const;
-    /// Whether @p entry is eligible at @p now.
+    const ReplicaPool &pool(const ModelId &model) const;
+    const std::unordered_map<ModelId, ReplicaPool> &pools() const
+    {
+        return pools_;
+    }
+    /// Whether @p entry is eligible at @p now. After an attempt broke, every member has to be seen anew first.
     bool isEligible(const ReplicaEntry &entry, TimePoint now) const;
     /// The entry of that replica in the current snapshot; null when it is not in it.
     EntryPtr find(const ReplicaId &id) const;
@@ -35,11 +51,13 @@
     {
         return entries_;
     }
+    /// Slots of the eligible replicas of this daemon's zone; of all zones when its own has none.
+    double capacity() const;
 
 private:
     RoutingSnapshotPtr snapshot_;
     std::unordered_map<ReplicaId, EntryPtr> entries_;
-    std::unordered_map<ModelId, std::vector<ReplicaEntry *>> eligible_;
+    std::unordered_map<ModelId, ReplicaPool> pools_;
 };
 
 }
--- a/src/routing/replica_chooser.h
+++ b/src/routing/replica_chooser.h
@@ -16,10 +16,10 @@
 struct ChoiceRequest {
     const ModelRequest &request;
     bool isLong = false;
-    double keepFree = 0; // slots that must stay free on the replica after the choice
+    double keepFree = 0; // part of the replica's slots that must stay free after the choice
     double longShare = 1; // of a replica's slots that long work may hold
-    ZoneId ownZone{};
-    std::uint32_t daemons = 1; // that send to the same replicas
+    double meanRelativeLoad = 0; // of the candidates, with the request added
+    std::span<const std::uint64_t> holders{}; // hashes of the replicas that probably cache the request's longest known prefix
 };
 
 /// The chosen replica, null when none has room, and what was compared.
@@ -35,7 +35,7 @@
 public:
     virtual ~ReplicaChooser() = default;
 
-    /// @param candidates eligible replicas of the model, without those that the request excludes.
+    /// @param candidates eligible replicas of the model in one zone group, without those that the request excludes.
     virtual Choice choose(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random) = 0;
     /// Requests on the replica as this strategy sees them.
     virtual double load(const ReplicaEntry &entry) const = 0;
--- a/src/routing/replica_entry.cpp
+++ b/src/routing/replica_entry.cpp
@@ -1,5 +1,7 @@
 #include "routing/replica_entry.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace carawaypoint
@@ -9,10 +11,13 @@
 {
 // A report older than this is not corrected any more; it bounds the memory for the history.
 constexpr Duration HistoryLength = seconds(5);
+// Attempts that break within this time of each other belong to one loss of the replica.
+constexpr Duration SameLoss = seconds(1);
 }
 
 ReplicaEntry::ReplicaEntry(const ReplicaView &view)
     : id_(view.id)
+    , idHash_(XXH3_64bits(view.id.str().data(), view.id.str().size()))
     , incarnation_(view.incarnation)
     , slots_(view.slots)
 {
@@ -23,6 +28,15 @@
     return inFlight_ > ownAtReport_ ? inFlight_ - ownAtReport_ : 0;
 }
 
+std::uint32_t ReplicaEntry::noteLoss(TimePoint now)
+{
+    if (now - lostAt_ > SameLoss) {
+        inFlightAtLoss_ = inFlight_;
+    }
+    lostAt_ = now;
+    return inFlightAtLoss_;
+}
+
 void ReplicaEntry::addInFlight(bool isLong, TimePoint now)
 {
     ++inFlight_;
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -21,6 +21,11 @@
     {
         return id_;
     }
+    /// Hash of the id for rendezvous hashing and the prefix index; the same at all daemons.
+    std::uint64_t idHash() const
+    {
+        return idHash_;
+    }
     std::uint64_t incarnation() const
     {
         return incarnation_;
@@ -73,6 +78,27 @@
         isIsolated_ = isolated;
     }
 
+    /// Crash suspects that run on the replica.
+    std::uint32_t suspects() const
+    {
+        return suspects_;
+    }
+    void addSuspect()
+    {
+        ++suspects_;
+    }
+    void removeSuspect()
+    {
+        suspects_ -= suspects_ > 0 ? 1 : 0;
+    }
+    /// An attempt broke at @p now. Returns the requests that were in flight at the first such moment.
+    std::uint32_t noteLoss(TimePoint now);
+    /// When an attempt last broke; members that were not seen since then are not known to live.
+    TimePoint lostAt() const
+    {
+        return lostAt_;
+    }
+
     void addInFlight(bool isLong, TimePoint now);
     void removeInFlight(bool isLong, TimePoint now);
     /// A request counted as short turned out to be long.
@@ -93,6 +119,7 @@
     Change stateAt(TimePoint at) const;
 
     ReplicaId id_;
+    std::uint64_t idHash_ = 0;
     std::uint64_t incarnation_ = 0;
     std::uint32_t slots_ = 0;
     const ReplicaView *view_ = nullptr;
@@ -103,6 +130,9 @@
     double peersLong_ = 0;
     double weight_ = 1;
     bool isIsolated_ = false;
+    std::uint32_t suspects_ = 0;
+    std::uint32_t inFlightAtLoss_ = 0;
+    TimePoint lostAt_{};
     std::deque<Change> history_; // of the own counts, to subtract them from a report of an earlier moment
 };
 
--- a/src/routing/request_record.h
+++ b/src/routing/request_record.h
@@ -21,12 +21,14 @@
     Dispatcher::GrantHandler handler;
     State state = State::Waiting;
     std::shared_ptr<ReplicaEntry> entry; // that holds the slot while granted
+    std::shared_ptr<ReplicaEntry> reserved; // kept free for this crash suspect while it waits
     std::vector<ReplicaId> excluded;
     bool isLong = false;
+    bool isSuspect = false; // when it was granted
+    bool isReclassified = false; // turned out to be long while it ran
     bool isRetry = false;
     TimePoint submittedAt;
     TimePoint grantedAt;
-    TimePoint finishedAt;
     TimePoint lastProgressAt;
     std::uint32_t tokens = 0; // of the current attempt
 };
--- /dev/null
+++ b/src/routing/unbounded_admission.cpp
@@ -0,0 +1,16 @@
+#include "routing/unbounded_admission.h"
+
+namespace carawaypoint
+{
+
+AdmissionVerdict UnboundedAdmission::check(const AdmissionInput &) const
+{
+    return {};
+}
+
+bool UnboundedAdmission::shedsHopeless() const
+{
+    return false;
+}
+
+}
--- /dev/null
+++ b/tests/routing/policies_test.cpp
@@ -0,0 +1,290 @@
+#include "routing/fair_shares.h"
+#include "routing/outlier_ejector.h"
+#include "routing/prefix_index.h"
+#include "routing/quarantine.h"
+#include "routing/retry_budget.h"
+#include "routing/work_predictor.h"
+#include "routing_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <numeric>
+
+namespace carawaypoint
+{
+
+// Guards against a large demand taking what smaller ones are entitled to.
+TEST(WeightedShares, dividesByWeightAndDemand)
+{
+    const std::vector<ShareClaim> claims{{1, 2}, {1, 100}, {2, 100}};
+    const std::vector<double> shares = weightedShares(32, claims);
+    EXPECT_DOUBLE_EQ(shares[0], 2);
+    EXPECT_DOUBLE_EQ(shares[1], 10);
+    EXPECT_DOUBLE_EQ(shares[2], 20);
+}
+
+// Guards against predictions that ignore earlier answers or exceed the declared limit.
+TEST(WorkPredictor, learnsLengthsPerGroup)
+{
+    WorkPredictor predictor;
+    ModelRequest chat = RoutingFixture().request("chat");
+    chat.maxTokens = 4096;
+    EXPECT_TRUE(predictor.predict(chat).isLong);
+    for (int i = 0; i < 100; ++i) {
+        predictor.observe(chat, 30);
+    }
+    EXPECT_FALSE(predictor.predict(chat).isLong);
+    ModelRequest report = chat;
+    report.customer = CustomerId("report");
+    for (int i = 0; i < 50; ++i) {
+        predictor.observe(report, 3000);
+    }
+    EXPECT_TRUE(predictor.predict(report).isLong);
+    EXPECT_LE(predictor.predict(report).outputTokens, 4096);
+}
+
+// Guards against unbounded memory when callers vary their adapters.
+TEST(WorkPredictor, boundsItsGroups)
+{
+    WorkPredictor predictor;
+    ModelRequest request = RoutingFixture().request();
+    for (int i = 0; i < 10000; ++i) {
+        request.adapter = std::to_string(i);
+        predictor.observe(request, 10);
+    }
+    EXPECT_LE(predictor.groups(), 4096U);
+}
+
+// Guards against retries that add more than their share of load.
+TEST(RetryBudget, allowsOneRetryInTenRequests)
+{
+    RetryBudget budget;
+    budget.setShare(0.1);
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.addRequest();
+        retries += budget.takeRetry() ? 1 : 0;
+    }
+    EXPECT_LE(retries, 103);
+    EXPECT_GE(retries, 100);
+}
+
+// Guards against one crash counted twice, and against a cleared or expired suspect staying suspected.
+TEST(Quarantine, countsEachCrashOnce)
+{
+    Quarantine quarantine;
+    const TimePoint now{hours(1)};
+    quarantine.addCrash(7, ReplicaId("r1"), 1, 4, now);
+    quarantine.addCrash(7, ReplicaId("r1"), 1, 4, now);
+    EXPECT_FALSE(quarantine.isQuarantined(7));
+    EXPECT_DOUBLE_EQ(quarantine.weight(7), 0.25);
+    quarantine.addPeerCrash(7, now);
+    EXPECT_TRUE(quarantine.isQuarantined(7));
+    quarantine.clear(7);
+    EXPECT_TRUE(quarantine.isQuarantined(7));
+    EXPECT_EQ(quarantine.takeNewSuspects(), std::vector<std::uint64_t>{7});
+    EXPECT_TRUE(quarantine.takeNewSuspects().empty());
+    quarantine.expire(now + minutes(11));
+    EXPECT_FALSE(quarantine.isSuspect(7));
+}
+
+// Guards against a poison request taking down more than two replicas, and against innocents of its batch being refused.
+TEST(Dispatcher, quarantinesCrasherAndClearsItsBatch)
+{
+    RoutingFixture fixture;
+    for (const char *name : {"r1", "r2", "r3", "r4", "r5", "r6"}) {
+        fixture.addReplica(name);
+    }
+    fixture.publish();
+    std::vector<Dispatcher::Ticket> tickets;
+    for (std::uint64_t fingerprint = 1; fingerprint <= 12; ++fingerprint) {
+        ModelRequest request = fixture.request();
+        request.deadline += seconds(60);
+        request.fingerprint = fingerprint;
+        tickets.push_back(fixture.submit(request));
+    }
+    const ReplicaId first = fixture.decisionsOf(tickets[0])[0].replica;
+    std::vector<std::pair<std::uint64_t, Dispatcher::Ticket>> batch;
+    for (std::uint64_t i = 0; i < tickets.size(); ++i) {
+        if (fixture.decisionsOf(tickets[i])[0].replica == first) {
+            batch.emplace_back(i + 1, tickets[i]);
+        } else {
+            fixture.dispatcher->finish(tickets[i], AttemptOutcome::Completed, 5);
+        }
+    }
+    for (const auto &[fingerprint, ticket] : batch) {
+        fixture.dispatcher->finish(ticket, AttemptOutcome::ReplicaLost, 0);
+    }
+    std::vector<std::pair<std::uint64_t, Dispatcher::Ticket>> again;
+    for (const auto &[fingerprint, ticket] : batch) {
+        again.emplace_back(fingerprint, fixture.resubmit(ticket, {first}));
+    }
+    // Fingerprint 1 crashes each replica that runs it; the others complete.
+    std::map<ReplicaId, int> losses{{first, 1}};
+    for (int round = 0; round < 20; ++round) {
+        for (const auto &[fingerprint, ticket] : again) {
+            if (!fixture.isGranted(ticket)) {
+                continue;
+            }
+            const ReplicaId replica = fixture.decisionsOf(ticket)[0].replica;
+            losses[replica] += fingerprint == 1 ? 1 : 0;
+            fixture.dispatcher->finish(ticket, fingerprint == 1 ? AttemptOutcome::ReplicaLost : AttemptOutcome::Completed, 5);
+        }
+        fixture.clock.advance(milliseconds(100));
+        fixture.refresh();
+        fixture.dispatcher->tick();
+    }
+    const int lost = std::accumulate(losses.begin(), losses.end(), 0, [](int sum, const auto &item) { return sum + (item.second > 0 ? 1 : 0); });
+    EXPECT_EQ(lost, 2);
+    ModelRequest poison = fixture.request();
+    poison.fingerprint = 1;
+    EXPECT_EQ(fixture.codeOf(fixture.submit(poison)), ResultCode::RequestQuarantined);
+    for (const auto &[fingerprint, ticket] : again) {
+        EXPECT_TRUE(fixture.isGranted(ticket)) << fingerprint;
+    }
+}
+
+// Guards against ejecting healthy replicas or more than a third, and against full traffic at once after recovery.
+TEST(OutlierEjector, ejectsStragglersAndRestoresInSteps)
+{
+    OutlierEjector ejector;
+    std::vector<ReplicaId> pool;
+    for (int i = 0; i < 6; ++i) {
+        pool.emplace_back("r" + std::to_string(i));
+    }
+    TimePoint now{hours(1)};
+    const auto run = [&](int rounds, int slowReplicas) {
+        for (int round = 0; round < rounds; ++round) {
+            for (int i = 0; i < 6; ++i) {
+                for (int sample = 0; sample < 5; ++sample) {
+                    ejector.addTokenTime(pool[static_cast<std::size_t>(i)], milliseconds(i < slowReplicas ? 150 : 30));
+                }
+            }
+            ejector.evaluate(pool, now);
+            now += milliseconds(500);
+        }
+    };
+    run(4, 0);
+    EXPECT_EQ(ejector.weight(pool[0]), 1);
+    run(10, 3);
+    const auto ejected = std::count_if(pool.begin(), pool.end(), [&](const ReplicaId &id) { return ejector.weight(id) < 1; });
+    EXPECT_EQ(ejected, 2);
+    double last = ejector.weight(pool[0]);
+    EXPECT_LE(last, 0.1);
+    int steps = 0;
+    for (int round = 0; round < 30; ++round) {
+        run(1, 0);
+        steps += ejector.weight(pool[0]) > last ? 1 : 0;
+        last = ejector.weight(pool[0]);
+    }
+    EXPECT_EQ(last, 1);
+    EXPECT_GE(steps, 3);
+}
+
+// Guards against hints that survive a gap without a resynchronisation.
+TEST(PrefixIndex, asksForCompleteUpdateAfterGap)
+{
+    PrefixIndex index;
+    const std::vector<std::uint64_t> prefixes{10, 20};
+    EXPECT_TRUE(index.apply(1, 1, {.isComplete = true, .lastSequence = 2, .changes = {{1, 10, false}, {2, 20, false}}}));
+    EXPECT_EQ(index.holdersOfLongest(prefixes).size(), 1U);
+    EXPECT_TRUE(index.apply(1, 1, {.lastSequence = 3, .changes = {{3, 20, true}}}));
+    EXPECT_FALSE(index.apply(1, 1, {.lastSequence = 5, .changes = {{5, 30, false}}}));
+    EXPECT_FALSE(index.apply(1, 1, {.lastSequence = 6, .changes = {{6, 40, false}}}));
+    EXPECT_TRUE(index.apply(1, 1, {.isComplete = true, .lastSequence = 6, .changes = {}}));
+    EXPECT_TRUE(index.holdersOfLongest(prefixes).empty());
+    EXPECT_EQ(index.size(), 0U);
+}
+
+// Guards against short work waiting for slots that long work holds, and against long work using more than its share.
+TEST(Dispatcher, keepsSlotsForShortWork)
+{
+    RoutingFixture fixture;
+    fixture.addReplica("r1", 8);
+    fixture.publish();
+    ModelRequest report = fixture.request();
+    report.maxTokens = 5000;
+    int granted = 0;
+    for (int i = 0; i < 8; ++i) {
+        granted += fixture.isGranted(fixture.submit(report)) ? 1 : 0;
+    }
+    EXPECT_EQ(granted, 4);
+    const auto question = fixture.submit(fixture.request());
+    EXPECT_TRUE(fixture.isGranted(question));
+    EXPECT_FALSE(fixture.decisionsOf(question)[0].isLongWork);
+}
+
+// Guards against a customer's flood delaying another customer that is within its share.
+TEST(Dispatcher, servesCustomersWithinTheirShareFirst)
+{
+    RoutingFixture fixture;
+    fixture.addReplica("r1", 4);
+    for (const char *customer : {"flood", "quiet"}) {
+        fixture.snapshot.customers.emplace_back().id = CustomerId(customer);
+    }
+    fixture.publish();
+    std::vector<Dispatcher::Ticket> flood;
+    for (int i = 0; i < 20; ++i) {
+        flood.push_back(fixture.submit(fixture.request("flood")));
+    }
+    const auto quiet = fixture.submit(fixture.request("quiet"));
+    EXPECT_FALSE(fixture.isGranted(quiet));
+    fixture.dispatcher->finish(flood[0], AttemptOutcome::Completed, 5);
+    EXPECT_TRUE(fixture.isGranted(quiet));
+}
+
+// Guards against queueing what cannot be served in time.
+TEST(Dispatcher, refusesWhatWouldMissItsDeadline)
+{
+    RoutingFixture fixture;
+    fixture.addReplica("r1", 1);
+    fixture.publish();
+    const auto first = fixture.submit(fixture.request());
+    fixture.clock.advance(milliseconds(1500));
+    fixture.dispatcher->finish(first, AttemptOutcome::Completed, 5);
+    std::vector<Dispatcher::Ticket> tickets;
+    for (int i = 0; i < 5; ++i) {
+        tickets.push_back(fixture.submit(fixture.request()));
+    }
+    EXPECT_TRUE(fixture.isGranted(tickets[0]));
+    EXPECT_TRUE(fixture.decisionsOf(tickets[1]).empty());
+    const auto refused = fixture.codeOf(tickets[4]);
+    EXPECT_TRUE(refused == ResultCode::CustomerOverShare || refused == ResultCode::DeadlineWouldPass);
+    EXPECT_GT(fixture.decisionsOf(tickets[4])[0].retryAfter, Duration::zero());
+}
+
+// Guards against crossing zones while the own zone has room, and against staying in it when it is full.
+TEST(Dispatcher, spillsToOtherZonesWhenOwnIsFull)
+{
+    RoutingFixture fixture;
+    fixture.addReplica("near", 2);
+    fixture.addReplica("far", 8, "z2");
+    fixture.publish();
+    std::vector<std::string> replicas;
+    for (int i = 0; i < 3; ++i) {
+        const auto ticket = fixture.submit(fixture.request());
+        ASSERT_TRUE(fixture.isGranted(ticket));
+        replicas.push_back(fixture.decisionsOf(ticket)[0].replica.str());
+    }
+    EXPECT_EQ(replicas, (std::vector<std::string>{"near", "near", "far"}));
+}
+
+// Guards against requests of one conversation being spread over replicas that do not cache it.
+TEST(Dispatcher, keepsAConversationOnOneReplica)
+{
+    RoutingFixture fixture;
+    for (const char *name : {"r1", "r2", "r3", "r4"}) {
+        fixture.addReplica(name, 8);
+    }
+    fixture.publish();
+    ModelRequest request = fixture.request();
+    request.prefixHashes = {1, 2};
+    const auto first = fixture.submit(request);
+    fixture.dispatcher->finish(first, AttemptOutcome::Completed, 5);
+    request.prefixHashes.push_back(3);
+    const auto second = fixture.submit(request);
+    EXPECT_EQ(fixture.decisionsOf(second)[0].replica, fixture.decisionsOf(first)[0].replica);
+    EXPECT_FALSE(fixture.decisionsOf(second)[0].considered.empty());
+}
+
+}
