Add the member table with suspicion, reconciliation of shared state and roles

Cause: daemons need members, observations, demand and roles within a bounded cost per daemon. Change: package membership (pure): member list, versioned state per owner, rendezvous roles, member table; a simulated fleet on a virtual clock for its tests. Ruled out: 16-bit freshness stamps, since they wrap within 11 minutes and a stamp kept during a longer cut would look new; ages instead of stamps, since a message that waited in a buffer would make an old observation look fresh.

--- /dev/null
+++ b/src/membership/member_table_state.cpp
@@ -0,0 +1,256 @@
+// Feeds of local state and sums over peers, separate from the exchange in member_table.cpp.
+#include "membership/member_table.h"
+
+#include "membership/rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+// Largest counters of a member that its record carries; the rest is too small to change a choice.
+constexpr std::size_t MaxOwnCounts = 16;
+// Crash suspects and leaving signals that one member publishes at a time.
+constexpr std::size_t MaxOwnSignals = 64;
+
+std::vector<KeyCount> largest(std::vector<KeyCount> counts, std::size_t limit)
+{
+    std::erase_if(counts, [](const auto &item) { return item.count == 0; });
+    std::sort(counts.begin(), counts.end(), [](const auto &a, const auto &b) { return a.count != b.count ? a.count > b.count : a.key < b.key; });
+    counts.resize(std::min(counts.size(), limit));
+    return counts;
+}
+
+bool isStatusEqual(const ServerState &a, const ServerState &b)
+{
+    return a.fencing == b.fencing && a.isSeen == b.isSeen && a.isLoaded == b.isLoaded && a.isLeaving == b.isLeaving;
+}
+
+std::vector<KeyCount> toCounts(const std::map<std::uint32_t, std::uint32_t> &sums)
+{
+    std::vector<KeyCount> counts;
+    for (const auto &[key, sum] : sums) {
+        counts.push_back({key, static_cast<std::uint16_t>(std::min<std::uint32_t>(sum, std::numeric_limits<std::uint16_t>::max()))});
+    }
+    return largest(std::move(counts), MaxCountsPerEntry);
+}
+
+}
+
+void MemberTable::setObservation(const VmId &vm, const ServerState &state, TimePoint now)
+{
+    const auto *known = state_.findOwn(EntryKind::Observation, vm.str());
+    if (known != nullptr && isStatusEqual(known->server, state)) {
+        if (known->server != state) {
+            pendingLoad_[vm] = state;
+        }
+        return;
+    }
+    pendingLoad_.erase(vm);
+    StateEntry entry;
+    entry.kind = EntryKind::Observation;
+    entry.key = vm.str();
+    entry.server = state;
+    isUrgent_ = state_.setOwn(std::move(entry), now, true) || isUrgent_;
+    ++changeCount_;
+}
+
+void MemberTable::removeObservation(const VmId &vm, TimePoint now)
+{
+    pendingLoad_.erase(vm);
+    state_.removeOwn(EntryKind::Observation, vm.str(), now);
+}
+
+void MemberTable::markProbed(TimePoint at)
+{
+    state_.markOwnSeen(at);
+}
+
+void MemberTable::setDemand(std::vector<KeyCount> customers, std::vector<KeyCount> replicas)
+{
+    pendingDemand_.customers = largest(std::move(customers), MaxOwnCounts);
+    pendingDemand_.replicas = largest(std::move(replicas), MaxOwnCounts);
+}
+
+void MemberTable::publishDemand(TimePoint now)
+{
+    const auto members = static_cast<double>(list_.live(list_.self().zone).size());
+    const auto interval = std::max(options_.period, Duration(static_cast<std::int64_t>(members / options_.demandRecordsPerSecond * 1e6)));
+    if (now - demandPublishedAt_ < interval) {
+        return;
+    }
+    demandPublishedAt_ = now;
+    state_.setOwn(pendingDemand_, now, false);
+    for (const auto &[vm, server] : pendingLoad_) {
+        StateEntry entry;
+        entry.kind = EntryKind::Observation;
+        entry.key = vm.str();
+        entry.server = server;
+        state_.setOwn(std::move(entry), now, false);
+    }
+    pendingLoad_.clear();
+}
+
+void MemberTable::reportCrashSuspect(const std::string &fingerprint, std::uint64_t weightThousandths, TimePoint now)
+{
+    StateEntry entry;
+    entry.kind = EntryKind::CrashSuspect;
+    entry.key = fingerprint;
+    entry.number = weightThousandths;
+    isUrgent_ = state_.setOwn(std::move(entry), now, true) || isUrgent_;
+    ownSignals_.emplace_back(now, std::pair(EntryKind::CrashSuspect, fingerprint));
+    expireSignals(now);
+}
+
+void MemberTable::reportLeaving(const VmId &vm, TimePoint now)
+{
+    StateEntry entry;
+    entry.kind = EntryKind::Leaving;
+    entry.key = vm.str();
+    isUrgent_ = state_.setOwn(std::move(entry), now, true) || isUrgent_;
+    ownSignals_.emplace_back(now, std::pair(EntryKind::Leaving, vm.str()));
+    expireSignals(now);
+}
+
+void MemberTable::expireSignals(TimePoint now)
+{
+    while (!ownSignals_.empty() && (ownSignals_.size() > MaxOwnSignals || now - ownSignals_.front().first > options_.signalRetention)) {
+        const auto signal = ownSignals_.front().second;
+        ownSignals_.pop_front();
+        const bool isRepeated = std::any_of(ownSignals_.begin(), ownSignals_.end(), [&](const auto &item) { return item.second == signal; });
+        if (!isRepeated) {
+            state_.removeOwn(signal.first, signal.second, now);
+        }
+    }
+}
+
+void MemberTable::setGeneration(std::uint64_t generation, std::uint64_t digest)
+{
+    auto record = list_.self();
+    if (record.generation == generation && record.generationDigest == digest) {
+        return;
+    }
+    record.generation = generation;
+    record.generationDigest = digest;
+    list_.updateSelf(record);
+    isUrgent_ = true;
+    ++changeCount_;
+}
+
+void MemberTable::notePlatformRevision(std::uint64_t revision)
+{
+    platformRevision_ = std::max(platformRevision_, revision);
+}
+
+void MemberTable::leave()
+{
+    auto record = list_.self();
+    record.status = MemberStatus::Left;
+    list_.updateSelf(record);
+    isCurrent_ = false;
+    isUrgent_ = true;
+}
+
+std::vector<PeerSignal> MemberTable::takeSignals()
+{
+    return std::exchange(signals_, {});
+}
+
+std::map<std::uint32_t, std::uint32_t> MemberTable::sumOf(std::vector<KeyCount> StateEntry::*counts, bool isZoneOnly) const
+{
+    std::map<std::uint32_t, std::uint32_t> sums;
+    const auto isAlive = [&](const MemberId &id) {
+        const auto record = list_.find(id);
+        return record && record->status == MemberStatus::Alive;
+    };
+    const auto addAll = [&](const StateEntry &entry) {
+        for (const auto &item : entry.*counts) {
+            sums[item.key] += item.count;
+        }
+    };
+    for (const auto &[id, entry] : state_.entriesOf(EntryKind::Demand, isAlive)) {
+        if (isZoneOnly || id != list_.self().id) {
+            addAll(*entry);
+        }
+    }
+    if (isZoneOnly) {
+        return sums;
+    }
+    // Both bridges of a zone pair carry the same sum; the first in the order of members counts.
+    std::map<std::string, std::pair<MemberId, const StateEntry *>> zones;
+    for (const auto &[id, entry] : state_.entriesOf(EntryKind::ZoneDemand, isAlive)) {
+        const auto [known, isNew] = zones.try_emplace(entry->key, id, entry);
+        if (!isNew && id < known->second.first) {
+            known->second = {id, entry};
+        }
+    }
+    for (const auto &[zone, item] : zones) {
+        addAll(*item.second);
+    }
+    return sums;
+}
+
+std::map<std::uint32_t, std::uint32_t> MemberTable::peerDemand() const
+{
+    return sumOf(&StateEntry::customers, false);
+}
+
+std::map<std::uint32_t, std::uint32_t> MemberTable::peerInFlight() const
+{
+    return sumOf(&StateEntry::replicas, false);
+}
+
+ZoneSummary MemberTable::summaryFor(const ZoneId &reader, TimePoint now) const
+{
+    auto summary = state_.summarise(now, options_.observationBound);
+    summary.isFresh = summary.isFresh && isCurrent_;
+    if (!reader.isEmpty()) {
+        summary.customers = toCounts(sumOf(&StateEntry::customers, true));
+        summary.replicas = toCounts(sumOf(&StateEntry::replicas, true));
+    }
+    return summary;
+}
+
+void MemberTable::applySummary(const PeerMessage &message, TimePoint now)
+{
+    const auto &summary = message.summary;
+    if (!summary.isPresent || message.sender.zone == list_.self().zone || !isBridgeTo(message.sender.zone, now)) {
+        return;
+    }
+    const auto &zone = message.sender.zone.str();
+    if (summary.isFresh) {
+        for (const auto &vm : summary.missing) {
+            StateEntry entry;
+            entry.kind = EntryKind::ZoneMissing;
+            entry.key = vm;
+            entry.number = keyHash(zone);
+            state_.setOwn(std::move(entry), now, false);
+        }
+        for (const auto &vm : state_.ownKeys(EntryKind::ZoneMissing)) {
+            const auto *entry = state_.findOwn(EntryKind::ZoneMissing, vm);
+            if (entry->number == keyHash(zone) && std::find(summary.missing.begin(), summary.missing.end(), vm) == summary.missing.end()) {
+                state_.removeOwn(EntryKind::ZoneMissing, vm, now);
+            }
+        }
+        StateEntry freshness;
+        freshness.kind = EntryKind::ZoneFreshness;
+        freshness.key = zone;
+        freshness.number = static_cast<std::uint64_t>((now.time_since_epoch() - milliseconds(summary.ageMs)) / StampUnit);
+        const auto *known = state_.findOwn(EntryKind::ZoneFreshness, zone);
+        if (known == nullptr || known->number < freshness.number) {
+            state_.setOwn(std::move(freshness), now, false);
+        }
+    }
+    StateEntry demand;
+    demand.kind = EntryKind::ZoneDemand;
+    demand.key = zone;
+    demand.customers = summary.customers;
+    demand.replicas = summary.replicas;
+    state_.setOwn(std::move(demand), now, false);
+}
+
+}
--- /dev/null
+++ b/src/membership/shared_observations.cpp
@@ -0,0 +1,92 @@
+// The combined view of backend servers, separate from the reconciliation in shared_state.cpp.
+#include "membership/shared_state.h"
+
+#include <algorithm>
+#include <map>
+
+namespace carawaypoint
+{
+
+TimePoint SharedState::foreignSeen(const ZoneId &zone, const std::string &vm) const
+{
+    TimePoint seen{};
+    const auto consider = [&](const Owner &owner) {
+        if (owner.zone != self_.zone || owner.lastSeen == TimePoint{}) {
+            return;
+        }
+        const auto entry = owner.entries.find({EntryKind::ZoneFreshness, zone.str()});
+        if (entry == owner.entries.end() || entry->second.isRemoved) {
+            return;
+        }
+        const auto missing = owner.entries.find({EntryKind::ZoneMissing, vm});
+        if (missing != owner.entries.end() && !missing->second.isRemoved) {
+            return;
+        }
+        seen = std::max(seen, TimePoint(StampUnit * static_cast<std::int64_t>(entry->second.number) + owner.offset));
+    };
+    consider(own_);
+    for (const auto &[key, owner] : owners_) {
+        consider(owner);
+    }
+    return seen;
+}
+
+std::vector<ObservedServer> SharedState::observations(TimePoint now) const
+{
+    std::map<std::string, ObservedServer> servers;
+    const auto add = [&](const Owner &owner) {
+        for (auto it = owner.entries.lower_bound({EntryKind::Observation, {}}); it != owner.entries.end() && it->first.first == EntryKind::Observation;
+             ++it) {
+            const auto &entry = it->second;
+            if (entry.isRemoved) {
+                continue;
+            }
+            TimePoint seen{};
+            if (entry.server.isSeen) {
+                seen = owner.zone == self_.zone ? owner.lastSeen : foreignSeen(owner.zone, entry.key);
+            }
+            const auto [known, isNew] = servers.try_emplace(entry.key);
+            auto &server = known->second;
+            const bool isLeaving = server.state.isLeaving || entry.server.isLeaving;
+            if (isNew || seen > server.lastSeen || (seen == server.lastSeen && entry.server.fencing > server.state.fencing)) {
+                server = {VmId(entry.key), owner.zone, entry.server, std::min(seen, now)};
+            }
+            server.state.isLeaving = isLeaving; // either prober's word is enough
+        }
+    };
+    add(own_);
+    for (const auto &[key, owner] : owners_) {
+        add(owner);
+    }
+    std::vector<ObservedServer> result;
+    result.reserve(servers.size());
+    for (auto &[vm, server] : servers) {
+        result.push_back(std::move(server));
+    }
+    return result;
+}
+
+ZoneSummary SharedState::summarise(TimePoint now, Duration bound) const
+{
+    ZoneSummary summary;
+    summary.isPresent = true;
+    auto oldest = now;
+    for (const auto &server : observations(now)) {
+        if (server.zone != self_.zone) {
+            continue;
+        }
+        if (now - server.lastSeen > bound) {
+            summary.missing.push_back(server.vm.str());
+        } else {
+            oldest = std::min(oldest, server.lastSeen);
+        }
+    }
+    summary.isFresh = summary.missing.size() <= MaxMissingInSummary;
+    if (!summary.isFresh) {
+        summary.missing.clear();
+    }
+    summary.ageMs = static_cast<std::uint32_t>((now - oldest) / milliseconds(1));
+    return summary;
+}
+
+}
