Add the configuration: schema, base with site overlays, checks and differences

Cause: operators declare models, customers and sites once and only the differences per site. All faults are collected with file and line and nothing is built when there is one. Ruled out: treating an overlay line equal to the base as harmless (a later change of the base would silently not apply to that site).

--- /dev/null
+++ b/src/config/config_loader.cpp
@@ -0,0 +1,240 @@
+#include "config/config_loader.h"
+
+#include "config/config_layer.h"
+#include "config/config_schema.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+template<typename Id>
+std::vector<Id> toIds(const std::vector<std::string> &names)
+{
+    std::vector<Id> ids;
+    for (const auto &name : names) {
+        ids.emplace_back(name);
+    }
+    return ids;
+}
+
+std::uint32_t toCount(const ParsedValue &value)
+{
+    return static_cast<std::uint32_t>(value.number);
+}
+
+ModelSettings makeModel(const std::string &name, const SectionValues &values)
+{
+    return {.id = ModelId(name),
+            .version = values.at("version").canonical,
+            .adapters = values.at("adapters").items,
+            .vmsPerReplica = toCount(values.at("vms_per_replica")),
+            .replicas = toCount(values.at("replicas")),
+            .slotsPerReplica = toCount(values.at("slots_per_replica")),
+            .maxPromptTokens = toCount(values.at("max_prompt_tokens")),
+            .maxOutputTokens = toCount(values.at("max_output_tokens")),
+            .firstTokenDeadline = values.at("first_token_deadline").time,
+            .pool = values.at("pool").canonical};
+}
+
+RoutingPolicy makeRouting(const SectionValues &values)
+{
+    RoutingPolicy policy;
+    policy.replicaChoice = values.at("replica_choice").canonical;
+    policy.queueOrder = values.at("queue_order").canonical;
+    policy.admission = values.at("admission").canonical;
+    policy.longWorkSlotShare = values.at("long_work_slot_share").number;
+    policy.retryBudgetShare = values.at("retry_budget_share").number;
+    policy.observationBound = values.at("observation_bound").time;
+    return policy;
+}
+
+RepairSettings makeRepair(const SectionValues &values)
+{
+    return {.strategy = values.at("strategy").canonical,
+            .sparesPerDomain = toCount(values.at("spares_per_domain")),
+            .mayDefragment = values.at("defragment").flag,
+            .leaseTime = values.at("lease_time").time,
+            .leaseRenewal = values.at("lease_renewal").time,
+            .orderLifetime = values.at("order_lifetime").time};
+}
+
+AlarmSettings makeAlarms(const SectionValues &values)
+{
+    return {.replicaDown = values.at("replica_down").time,
+            .domainLost = values.at("domain_lost").time,
+            .platformDown = values.at("platform_down").time,
+            .zoneCutOff = values.at("zone_cut_off").time,
+            .daemonsLost = values.at("daemons_lost").time,
+            .serviceDown = values.at("service_down").time,
+            .configNotInForce = values.at("config_not_in_force").time,
+            .clearAfter = values.at("clear_after").time};
+}
+
+LimitSettings makeLimits(const SectionValues &values)
+{
+    return {.maxBodyBytes = static_cast<std::uint64_t>(values.at("max_body_bytes").number),
+            .maxConnections = toCount(values.at("max_connections")),
+            .maxQueuedRequests = toCount(values.at("max_queued_requests")),
+            .tokenTimeout = values.at("token_timeout").time,
+            .claimRetention = values.at("claim_retention").time,
+            .drainTime = values.at("drain_time").time};
+}
+
+EffectiveConfig makeConfig(const std::string &site, const MergedConfig &merged)
+{
+    EffectiveConfig config;
+    config.site = site;
+    const auto siteValues = merged.valuesOf({"site", ""});
+    config.siteSettings = {ZoneId(siteValues.at("zone").canonical), toCount(siteValues.at("daemons"))};
+    config.routing = makeRouting(merged.valuesOf({"routing", ""}));
+    config.repair = makeRepair(merged.valuesOf({"repair", ""}));
+    config.alarms = makeAlarms(merged.valuesOf({"alarms", ""}));
+    config.limits = makeLimits(merged.valuesOf({"limits", ""}));
+    for (const auto &name : merged.namesOf("model")) {
+        config.models.push_back(makeModel(name, merged.valuesOf({"model", name})));
+    }
+    for (const auto &name : merged.namesOf("customer")) {
+        const auto values = merged.valuesOf({"customer", name});
+        config.customers.push_back({CustomerId(name), values.at("share").number, toIds<ModelId>(values.at("models").items)});
+    }
+    for (const auto &name : merged.namesOf("service")) {
+        const auto values = merged.valuesOf({"service", name});
+        config.services.push_back({ServiceId(name), values.at("pool").canonical, values.at("repeatable").flag, values.at("timeout").time});
+    }
+    for (const auto &name : merged.namesOf("pool")) {
+        const auto values = merged.valuesOf({"pool", name});
+        config.pools.push_back({name, values.at("engines_check_fencing").flag, values.at("loads_per_minute").number});
+    }
+    config.entries = merged.entries();
+    return config;
+}
+
+/// Checks that span several keys.
+class CrossChecker
+{
+public:
+    CrossChecker(const EffectiveConfig &config, const MergedConfig &merged, const std::vector<DomainSize> &domains, std::vector<ConfigFault> &faults)
+        : config_(config)
+        , merged_(merged)
+        , domains_(domains)
+        , faults_(faults)
+    {
+    }
+
+    void checkModel(const ModelSettings &model)
+    {
+        const SectionId section{"model", model.id.str()};
+        if (!model.pool.empty() && config_.findPool(model.pool) == nullptr) {
+            add(section, "pool", "expected a pool that has a section [pool " + model.pool + "]");
+        }
+        std::uint32_t largest = 0;
+        bool isZoneKnown = false;
+        for (const auto &domain : domains_) {
+            if (domain.zone == config_.siteSettings.zone) {
+                isZoneKnown = true;
+                largest = domain.pool == model.pool ? std::max(largest, domain.vms) : largest;
+            }
+        }
+        if (isZoneKnown && model.replicas > 0 && model.vmsPerReplica > largest) {
+            add(section, "vms_per_replica",
+                "expected at most " + std::to_string(largest) + ", the VMs of the largest fabric domain of pool " + model.pool + " in zone "
+                    + config_.siteSettings.zone.str());
+        }
+    }
+
+    void checkAll()
+    {
+        for (const auto &model : config_.models) {
+            checkModel(model);
+        }
+        for (const auto &service : config_.services) {
+            if (config_.findPool(service.pool) != nullptr) {
+                add({"service", service.id.str()}, "pool", "expected a pool without a section [pool " + service.pool + "], which runs models");
+            }
+        }
+        for (const auto &customer : config_.customers) {
+            for (const auto &model : customer.models) {
+                if (config_.findModel(model) == nullptr) {
+                    add({"customer", customer.id.str()}, "models", "expected models that have a section, " + model.str() + " has none");
+                }
+            }
+        }
+        if (config_.repair.leaseRenewal * 2 > config_.repair.leaseTime) {
+            add({"repair", ""}, "lease_renewal", "expected at most half of lease_time, so that one lost renewal does not lose the lease");
+        }
+    }
+
+private:
+    void add(const SectionId &section, std::string_view key, std::string expected)
+    {
+        faults_.push_back({merged_.originOf(section, key), section.toString() + "." + std::string(key), std::move(expected)});
+    }
+
+    const EffectiveConfig &config_;
+    const MergedConfig &merged_;
+    const std::vector<DomainSize> &domains_;
+    std::vector<ConfigFault> &faults_;
+};
+
+void checkZones(const std::map<std::string, EffectiveConfig> &sites, const std::map<std::string, MergedConfig> &merged, std::vector<ConfigFault> &faults)
+{
+    std::map<ZoneId, std::string> siteOfZone;
+    for (const auto &[site, config] : sites) {
+        const auto &zone = config.siteSettings.zone;
+        const auto [first, isNew] = siteOfZone.emplace(zone, site);
+        if (!isNew && !zone.isEmpty()) {
+            faults.push_back(
+                {merged.at(site).originOf({"site", ""}, "zone"), "site.zone", "expected a zone of its own, site " + first->second + " has the same"});
+        }
+    }
+}
+
+/// Faults of the base would otherwise appear once per site.
+void sortFaults(std::vector<ConfigFault> &faults)
+{
+    const auto rank = [](const ConfigFault &fault) {
+        return std::tie(fault.origin.file, fault.origin.line, fault.key, fault.expected);
+    };
+    std::sort(faults.begin(), faults.end(), [&](const ConfigFault &a, const ConfigFault &b) { return rank(a) < rank(b); });
+    faults.erase(std::unique(faults.begin(), faults.end(), [&](const ConfigFault &a, const ConfigFault &b) { return rank(a) == rank(b); }), faults.end());
+}
+
+}
+
+LoadedConfig loadConfig(const ConfigDocuments &documents, const std::vector<DomainSize> &domains)
+{
+    LoadedConfig loaded;
+    const auto size = toJson(documents).size();
+    if (size > MaxConfigBytes) {
+        loaded.isTooLarge = true;
+        loaded.faults.push_back(
+            {{documents.baseFile(), 1}, {}, "expected at most " + std::to_string(MaxConfigBytes) + " bytes as JSON in total, found " + std::to_string(size)});
+        return loaded;
+    }
+    const auto base = readLayer(documents.base, documents.baseFile(), loaded.faults);
+    if (documents.sites.empty()) {
+        loaded.faults.push_back({{documents.baseFile(), 1}, {}, "expected at least one site overlay"});
+    }
+    std::map<std::string, MergedConfig> merged;
+    for (const auto &[site, text] : documents.sites) {
+        const auto overlay = readLayer(text, documents.siteFile(site), loaded.faults);
+        const auto &sources = merged.emplace(site, mergeLayers(base, overlay, loaded.faults)).first->second;
+        auto config = makeConfig(site, sources);
+        CrossChecker(config, sources, domains, loaded.faults).checkAll();
+        loaded.sites.emplace(site, std::move(config));
+    }
+    checkZones(loaded.sites, merged, loaded.faults);
+    sortFaults(loaded.faults);
+    if (!loaded.faults.empty()) {
+        loaded.sites.clear();
+    }
+    return loaded;
+}
+
+}
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -61,6 +61,9 @@
 
 std::string formatNumber(double number)
 {
+    if (number == std::floor(number) && std::abs(number) < 1e15) {
+        return std::to_string(static_cast<std::int64_t>(number)); // to_chars would write a million as 1e+06
+    }
     char text[40];
     const auto [end, error] = std::to_chars(text, text + sizeof text, number);
     return error == std::errc{} ? std::string(text, end) : std::string();
--- a/tests/observe/log_test.cpp
+++ b/tests/observe/log_test.cpp
@@ -62,6 +62,7 @@
     const auto droppedBefore = droppedLogLines();
     startLog("entry-1", LogLevel::Info, path);
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int thread = 0; thread < 4; ++thread) {
         threads.emplace_back([] {
             for (std::uint64_t i = 0; i < Lines / 4; ++i) {
