--- a/src/assignment/controller.cpp
+++ b/src/assignment/controller.cpp
@@ -178,7 +178,8 @@
 
 void Controller::planZone()
 {
-    const bool isNeeded = std::any_of(controllers_.begin(), controllers_.end(), [](const auto &entry) { return entry.second->leaseState() != LeaseState::Follower; });
+    const bool isNeeded =
+        std::any_of(controllers_.begin(), controllers_.end(), [](const auto &entry) { return entry.second->leaseState() != LeaseState::Follower; });
     if (!isNeeded) {
         return;
     }
@@ -188,7 +189,8 @@
         absent.key = key;
         const auto *record = controller->record();
         const auto &view = zoneView_;
-        domains.push_back(summarizeDomain(record ? *record : absent, view.inventory, view.observations, view.settings, view.observedSince, ports_.clock->now()));
+        domains.push_back(
+            summarizeDomain(record ? *record : absent, view.inventory, view.observations, view.settings, view.observedSince, ports_.clock->now()));
     }
     const auto *strategy = findAssignmentStrategy(zoneView_.settings.strategy);
     zoneView_.plan = carawaypoint::planZone(domains, zoneView_.settings, strategy ? *strategy : assignmentStrategies().back());
@@ -325,7 +327,8 @@
     status.unconfirmedControllers = static_cast<std::uint32_t>(record.unconfirmed.size());
     for (const auto &vm : record.vms) {
         const auto *replica = record.replica(vm.replica);
-        const auto whole = std::any_of(summary.replicas.begin(), summary.replicas.end(), [&](const auto &entry) { return entry.id == vm.replica && entry.isWhole; });
+        const auto whole =
+            std::any_of(summary.replicas.begin(), summary.replicas.end(), [&](const auto &entry) { return entry.id == vm.replica && entry.isWhole; });
         const auto seen = view.observations.find(vm.id);
         VmStatus entry{vm.id, vm.phase, vm.replica, replica && replica->spare == vm.id, false, vm.isDraining, 0};
         entry.isMissing = isMissing(vm.id, view.observations, view.settings, view.observedSince, now);
--- a/src/assignment/decision.cpp
+++ b/src/assignment/decision.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr std::string_view KindNames[] = {
-    "add_vm",      "remove_vm",  "mark_vm_draining", "create_replica",   "drain_replica", "resume_replica", "replace_member",     "remove_member",
-    "add_member", "update_replica", "dissolve_replica", "bind_spare", "release_spare", "free_vm",        "confirm_controller",
+    "add_vm",     "remove_vm",      "mark_vm_draining", "create_replica", "drain_replica", "resume_replica", "replace_member",     "remove_member",
+    "add_member", "update_replica", "dissolve_replica", "bind_spare",     "release_spare", "free_vm",        "confirm_controller",
 };
 
 FencingNumber nextFence(DomainRecord &record)
--- a/src/assignment/domain_controller.cpp
+++ b/src/assignment/domain_controller.cpp
@@ -26,15 +26,9 @@
         for (const auto &member : decision.members) {
             members += (members.empty() ? "" : " ") + member.str();
         }
-        logDecision("placement",
-                    subject,
-                    decisionKindName(decision.kind),
-                    decision.reason,
-                    {{"domain", record.key.objectName()},
-                     {"epoch", record.epoch},
-                     {"vm", decision.vm.str()},
-                     {"other", decision.other.str()},
-                     {"members", members}});
+        logDecision(
+            "placement", subject, decisionKindName(decision.kind), decision.reason,
+            {{"domain", record.key.objectName()}, {"epoch", record.epoch}, {"vm", decision.vm.str()}, {"other", decision.other.str()}, {"members", members}});
     }
 }
 
@@ -127,34 +121,35 @@
     isCallUnderWay_ = true;
     nextReadAt_ = now() + RetryPeriod;
     const auto readFor = known_ ? std::optional(known_->version) : std::nullopt;
-    ports_.store->fetch(Kind, key_.objectName(), [self = shared_from_this(), call = callGeneration_, readFor](std::error_code error, const StoredObject &object) {
-        if (call != self->callGeneration_) {
-            return;
-        }
-        self->isCallUnderWay_ = false;
-        if (error == ResultCode::ObjectNotFound) {
-            KnownRecord absent;
-            absent.record.key = self->key_;
-            // The record of a store that was restored from a copy without it is written back from the known one.
-            self->claim(self->known_ ? KnownRecord{self->known_->record, 0, self->now()} : absent);
-            return;
-        }
-        if (error) {
-            return;
-        }
-        auto record = decodeDomainRecord(object.value);
-        if (!record || record->key != self->key_) {
-            logLine(LogLevel::Error, "domain record is malformed and is left alone", {{"object", object.name}, {"version", object.version}});
-            return;
-        }
-        const bool isOlder = self->known_ && self->known_->record.isNewerThan(*record);
-        if (isOlder || (readFor == object.version && self->known_)) {
-            // The holder did not write since this process saw the version, or the platform went back to an older copy.
-            self->claim({self->known_->record, object.version, self->now()});
-            return;
-        }
-        self->remember(std::move(*record), object.version);
-    });
+    ports_.store->fetch(
+        Kind, key_.objectName(), [self = shared_from_this(), call = callGeneration_, readFor](std::error_code error, const StoredObject &object) {
+            if (call != self->callGeneration_) {
+                return;
+            }
+            self->isCallUnderWay_ = false;
+            if (error == ResultCode::ObjectNotFound) {
+                KnownRecord absent;
+                absent.record.key = self->key_;
+                // The record of a store that was restored from a copy without it is written back from the known one.
+                self->claim(self->known_ ? KnownRecord{self->known_->record, 0, self->now()} : absent);
+                return;
+            }
+            if (error) {
+                return;
+            }
+            auto record = decodeDomainRecord(object.value);
+            if (!record || record->key != self->key_) {
+                logLine(LogLevel::Error, "domain record is malformed and is left alone", {{"object", object.name}, {"version", object.version}});
+                return;
+            }
+            const bool isOlder = self->known_ && self->known_->record.isNewerThan(*record);
+            if (isOlder || (readFor == object.version && self->known_)) {
+                // The holder did not write since this process saw the version, or the platform went back to an older copy.
+                self->claim({self->known_->record, object.version, self->now()});
+                return;
+            }
+            self->remember(std::move(*record), object.version);
+        });
 }
 
 void DomainController::claim(const KnownRecord &stored)
@@ -188,8 +183,8 @@
     isCallUnderWay_ = true;
     lastWriteAt_ = now();
     lease_.handle(start, now());
-    auto handler = [self = shared_from_this(), call = callGeneration_, next = std::move(next), decisions = std::move(decisions), whenDone = std::move(whenDone)](
-                       std::error_code error, std::uint64_t version) mutable {
+    auto handler = [self = shared_from_this(), call = callGeneration_, next = std::move(next), decisions = std::move(decisions),
+                    whenDone = std::move(whenDone)](std::error_code error, std::uint64_t version) mutable {
         if (call == self->callGeneration_) {
             self->isCallUnderWay_ = false;
             self->nextReadAt_ = {};
@@ -382,17 +377,17 @@
         }
         asked = now();
         const auto epoch = known_->record.epoch;
-        ports_.formerControllers->confirmNoOrdersInFlight(
-            former, key_, epoch, [self = shared_from_this(), former, epoch](std::error_code error, FormerControllerReply reply) {
-                if (error || !self->known_ || self->known_->record.epoch != epoch) {
-                    return;
-                }
-                if (reply == FormerControllerReply::NoOrdersInFlight) {
-                    self->confirmed_.insert(former);
-                } else if (reply == FormerControllerReply::ProcessEnded) {
-                    self->endedSince_.emplace(former, self->now());
-                }
-            });
+        ports_.formerControllers->confirmNoOrdersInFlight(former, key_, epoch,
+                                                          [self = shared_from_this(), former, epoch](std::error_code error, FormerControllerReply reply) {
+                                                              if (error || !self->known_ || self->known_->record.epoch != epoch) {
+                                                                  return;
+                                                              }
+                                                              if (reply == FormerControllerReply::NoOrdersInFlight) {
+                                                                  self->confirmed_.insert(former);
+                                                              } else if (reply == FormerControllerReply::ProcessEnded) {
+                                                                  self->endedSince_.emplace(former, self->now());
+                                                              }
+                                                          });
     }
 }
 
--- a/src/assignment/repair.cpp
+++ b/src/assignment/repair.cpp
@@ -41,7 +41,11 @@
             const auto *replica = record_.replica(id);
             const auto missing = firstMissingMember(*replica);
             if (missing && !replica->spare.isEmpty() && !isMissing(replica->spare)) {
-                add({.kind = DecisionKind::ReplaceMember, .vm = *missing, .other = replica->spare, .replica = id, .reason = "isolated: member missing, bound spare used"});
+                add({.kind = DecisionKind::ReplaceMember,
+                     .vm = *missing,
+                     .other = replica->spare,
+                     .replica = id,
+                     .reason = "isolated: member missing, bound spare used"});
             }
         }
         return std::move(decisions_);
@@ -112,7 +116,9 @@
         for (const auto &vm : vms) {
             const auto *entry = listed(vm.id);
             if (!vm.isDraining && ((entry && entry->isLeaving) || view_.drainedByOperator.contains(vm.id))) {
-                add({.kind = DecisionKind::MarkVmDraining, .vm = vm.id, .reason = entry && entry->isLeaving ? "leaving by the platform's list" : "drained by an operator"});
+                add({.kind = DecisionKind::MarkVmDraining,
+                     .vm = vm.id,
+                     .reason = entry && entry->isLeaving ? "leaving by the platform's list" : "drained by an operator"});
             }
             if (vm.phase == VmPhase::Free && isGone(vm.id)) {
                 add({.kind = DecisionKind::RemoveVm, .vm = vm.id, .reason = "no longer listed by the platform"});
--- /dev/null
+++ b/src/daemon/admin_json.cpp
@@ -0,0 +1,214 @@
+#include "daemon/admin_json.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+namespace carawaypoint
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+std::string_view statusName(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Alive:
+        return "alive";
+    case MemberStatus::Suspect:
+        return "suspect";
+    case MemberStatus::Left:
+        return "left";
+    case MemberStatus::Dead:
+        break;
+    }
+    return "dead";
+}
+
+json::array zonesJson(const DaemonStatus &status)
+{
+    std::map<ZoneId, std::uint32_t> daemons;
+    for (const auto &member : status.members) {
+        daemons[member.zone] += member.status == MemberStatus::Alive ? 1 : 0;
+    }
+    json::array zones;
+    for (const auto &[zone, count] : daemons) {
+        zones.push_back(json::object{{"zone", zone.str()}, {"reachable", count > 0}, {"daemons", count}});
+    }
+    return zones;
+}
+
+json::array membersJson(const DaemonStatus &status)
+{
+    json::array members;
+    for (const auto &member : status.members) {
+        members.push_back(
+            json::object{{"id", member.id.str()}, {"zone", member.zone.str()}, {"state", statusName(member.status)}, {"generation", member.generation}});
+    }
+    return members;
+}
+
+/// State of a replica as the router sees it: `whole` only when it may be sent requests.
+std::string_view replicaState(const ReplicaView &replica, TimePoint now, Duration bound)
+{
+    if (replica.isDraining) {
+        return "draining";
+    }
+    if (replica.members.size() < replica.expectedMembers) {
+        return "incomplete";
+    }
+    const bool isSeen = std::all_of(replica.members.begin(), replica.members.end(),
+                                    [&](const ReplicaMemberView &member) { return member.lastSeen != TimePoint{} && now - member.lastSeen <= bound; });
+    if (!isSeen) {
+        return "incomplete";
+    }
+    const bool isLoaded = std::all_of(replica.members.begin(), replica.members.end(), [](const ReplicaMemberView &member) { return member.isLoaded; });
+    return isLoaded ? "whole" : "loading";
+}
+
+json::array replicasJson(const DaemonStatus &status)
+{
+    json::array replicas;
+    for (const auto &replica : status.replicas) {
+        json::array members;
+        for (const auto &member : replica.members) {
+            members.emplace_back(member.vm.str());
+        }
+        replicas.push_back(json::object{{"replica", replica.id.str()},
+                                        {"incarnation", replica.incarnation},
+                                        {"model", replica.model.str()},
+                                        {"zone", replica.zone.str()},
+                                        {"domain", replica.domain.str()},
+                                        {"state", replicaState(replica, status.now, status.observationBound)},
+                                        {"running", replica.load.running},
+                                        {"members", std::move(members)}});
+    }
+    return replicas;
+}
+
+json::array vmsJson(const DaemonStatus &status)
+{
+    std::map<VmId, const VmStatus *> assigned;
+    for (const auto &domain : status.assignment.domains) {
+        for (const auto &vm : domain.vms) {
+            assigned[vm.vm] = &vm;
+        }
+    }
+    json::array vms;
+    for (const auto &vm : status.vms) {
+        const auto found = assigned.find(vm.id);
+        std::string state = vm.isLeaving ? "leaving" : "listed";
+        std::string replica;
+        if (found != assigned.end()) {
+            const VmStatus &entry = *found->second;
+            state = entry.isMissing ? "missing" : entry.isDraining ? "draining" : entry.isSpare ? "spare" : entry.phase == VmPhase::Free ? "free" : "bound";
+            replica = entry.replica.str();
+        }
+        vms.push_back(
+            json::object{{"vm", vm.id.str()}, {"zone", vm.zone.str()}, {"domain", vm.domain.str()}, {"pool", vm.pool}, {"state", state}, {"replica", replica}});
+    }
+    return vms;
+}
+
+json::array strandedJson(const AssignmentStatus &assignment)
+{
+    json::array stranded;
+    for (const auto &domain : assignment.domains) {
+        stranded.push_back(
+            json::object{{"zone", domain.key.zone.str()}, {"domain", domain.key.domain.str()}, {"vms", domain.stranded}, {"spares", domain.spares}});
+    }
+    return stranded;
+}
+
+std::string wallTimeOf(TimePoint time, TimePoint now)
+{
+    return formatWallTime(std::chrono::system_clock::now() - std::chrono::duration_cast<std::chrono::system_clock::duration>(now - time));
+}
+
+json::array alarmArray(const std::vector<Alarm> &alarms, TimePoint now)
+{
+    json::array array;
+    for (const auto &alarm : alarms) {
+        json::array effects;
+        for (const auto &effect : alarm.condition.effects) {
+            effects.emplace_back(effect);
+        }
+        json::object object{{"cause", alarm.condition.cause()},      {"detail", alarm.condition.detail},
+                            {"since", wallTimeOf(alarm.since, now)}, {"raised_at", wallTimeOf(alarm.raisedAt, now)},
+                            {"effects", std::move(effects)},         {"advice", alarmKindInfo(alarm.condition.kind).advice}};
+        if (!alarm.isActive()) {
+            object["cleared_at"] = wallTimeOf(alarm.clearedAt, now);
+        }
+        array.push_back(std::move(object));
+    }
+    return array;
+}
+
+}
+
+std::string formatWallTime(std::chrono::system_clock::time_point time)
+{
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    const std::time_t whole = sinceEpoch / 1000;
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    std::string text(40, '\0');
+    const int length = std::snprintf(text.data(), text.size(), "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ", parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
+                                     parts.tm_hour, parts.tm_min, parts.tm_sec, static_cast<int>(sinceEpoch % 1000));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::string statusJson(const DaemonStatus &status)
+{
+    const json::object body{{"daemon", status.daemon.str()},
+                            {"zone", status.zone.str()},
+                            {"ready", status.isReady},
+                            {"generation", status.generation},
+                            {"platform_reachable", status.isPlatformReachable},
+                            {"zones", zonesJson(status)},
+                            {"members", membersJson(status)},
+                            {"replicas", replicasJson(status)},
+                            {"vms", vmsJson(status)},
+                            {"stranded", strandedJson(status.assignment)}};
+    return json::serialize(body);
+}
+
+std::string configStatusJson(std::uint64_t newestGeneration, const std::vector<MemberGeneration> &members)
+{
+    json::array array;
+    for (const auto &[member, since] : members) {
+        array.push_back(json::object{{"id", member.id.str()},
+                                     {"zone", member.zone.str()},
+                                     {"state", statusName(member.status)},
+                                     {"generation", member.generation},
+                                     {"in_force_since", since}});
+    }
+    return json::serialize(json::object{{"generation", newestGeneration}, {"members", std::move(array)}});
+}
+
+std::string alarmsJson(const std::vector<Alarm> &active, const std::vector<Alarm> &recent, TimePoint now)
+{
+    return json::serialize(json::object{{"active", alarmArray(active, now)}, {"recent", alarmArray(recent, now)}});
+}
+
+std::string decisionsJson(std::string_view subject, const std::vector<DecisionRecord> &records)
+{
+    json::array array;
+    for (const auto &record : records) {
+        boost::system::error_code error;
+        json::value fields = json::parse(record.fieldsJson, error);
+        array.push_back(json::object{{"time", formatWallTime(record.at)},
+                                     {"kind", record.kind},
+                                     {"choice", record.choice},
+                                     {"reason", record.reason},
+                                     {"fields", error ? json::value(json::object{}) : std::move(fields)}});
+    }
+    return json::serialize(json::object{{"subject", subject}, {"records", std::move(array)}});
+}
+
+}
--- /dev/null
+++ b/src/load/entry_health.cpp
@@ -0,0 +1,87 @@
+#include "load/entry_health.h"
+
+#include "core/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto CheckPeriod = milliseconds(100);
+constexpr auto CheckTimeout = milliseconds(500);
+
+/// One `GET /readyz`, asynchronous on a context of its own so that the time limit holds.
+bool isEntryReady(const Endpoint &entry)
+{
+    boost::asio::io_context context(1);
+    beast::tcp_stream stream(context);
+    http::request<http::empty_body> request{http::verb::get, "/readyz", 11};
+    request.set(http::field::host, entry.toString());
+    request.keep_alive(false);
+    beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    bool isReady = false;
+    stream.expires_after(CheckTimeout);
+    stream.async_connect({boost::asio::ip::make_address(entry.address), entry.port}, [&](beast::error_code connectError) {
+        if (connectError) {
+            return;
+        }
+        http::async_write(stream, request, [&](beast::error_code writeError, std::size_t) {
+            if (writeError) {
+                return;
+            }
+            http::async_read(stream, buffer, response,
+                             [&](beast::error_code readError, std::size_t) { isReady = !readError && response.result() == http::status::ok; });
+        });
+    });
+    context.run();
+    return isReady;
+}
+
+}
+
+EntryHealth::EntryHealth(std::vector<Endpoint> entries)
+{
+    for (auto &endpoint : entries) {
+        entries_.emplace_back().endpoint = std::move(endpoint);
+    }
+    thread_ = std::thread([this] { run(); });
+}
+
+EntryHealth::~EntryHealth()
+{
+    isStopping_ = true;
+    thread_.join();
+}
+
+void EntryHealth::run()
+{
+    while (!isStopping_) {
+        for (auto &entry : entries_) {
+            entry.isReady = isEntryReady(entry.endpoint);
+        }
+        std::this_thread::sleep_for(CheckPeriod);
+    }
+}
+
+const Endpoint &EntryHealth::choose(std::size_t number) const
+{
+    for (std::size_t offset = 0; offset < entries_.size(); ++offset) {
+        const auto &entry = entries_[(number + offset) % entries_.size()];
+        if (entry.isReady) {
+            return entry.endpoint;
+        }
+    }
+    return entries_[number % entries_.size()].endpoint;
+}
+
+}
--- a/src/load/load_generator.cpp
+++ b/src/load/load_generator.cpp
@@ -1,6 +1,7 @@
 #include "load/load_generator.h"
 
 #include "core/random.h"
+#include "load/entry_health.h"
 #include "load/load_client.h"
 
 #include <boost/asio/io_context.hpp>
@@ -21,18 +22,23 @@
 class LoadThread
 {
 public:
-    LoadThread(const WorkloadOptions &workload, const LoadTarget &target)
+    /// @param health null: requests go to the entries in turn.
+    LoadThread(const WorkloadOptions &workload, const LoadTarget &target, const EntryHealth *health)
         : workload_(workload)
         , target_(target)
+        , health_(health)
     {
     }
 
-    void add(PlannedRequest request, const Endpoint &entry, TimePoint start)
+    /// @param number of the request in the whole workload, which decides its entry.
+    void add(PlannedRequest request, std::size_t number, TimePoint start)
     {
         auto timer = std::make_shared<boost::asio::steady_timer>(context_);
-        timer->expires_at(start + request.at);
-        auto client = std::make_shared<LoadClient>(context_, entry, workload_.model, request);
-        timer->async_wait([this, timer, client, planned = start + request.at](const boost::system::error_code &) {
+        const TimePoint planned = start + request.at;
+        timer->expires_at(planned);
+        timer->async_wait([this, timer, number, planned, request = std::move(request)](const boost::system::error_code &) {
+            const Endpoint &entry = health_ ? health_->choose(number) : target_.entries[number % target_.entries.size()];
+            auto client = std::make_shared<LoadClient>(context_, entry, workload_.model, request);
             client->run(planned, target_.timeout, [this](const LoadResult &result) { results_.push_back(result); });
         });
     }
@@ -50,6 +56,7 @@
 private:
     const WorkloadOptions &workload_;
     const LoadTarget &target_;
+    const EntryHealth *health_;
     boost::asio::io_context context_{1};
     std::vector<LoadResult> results_;
 };
@@ -77,15 +84,19 @@
 
 LoadReport runLoad(const WorkloadOptions &workload, const LoadTarget &target)
 {
+    std::unique_ptr<EntryHealth> health;
+    if (target.isBalanced) {
+        health = std::make_unique<EntryHealth>(target.entries);
+    }
     std::vector<std::unique_ptr<LoadThread>> workers;
     for (unsigned index = 0; index < std::max(1U, target.threads); ++index) {
-        workers.push_back(std::make_unique<LoadThread>(workload, target));
+        workers.push_back(std::make_unique<LoadThread>(workload, target, health.get()));
     }
     constexpr auto StartDelay = milliseconds(50); // so that the first requests are not late
     const TimePoint start = SteadyClock().now() + StartDelay;
     std::size_t number = 0;
     for (auto &request : planWorkload(workload)) {
-        workers[number % workers.size()]->add(std::move(request), target.entries[number % target.entries.size()], start);
+        workers[number % workers.size()]->add(std::move(request), number, start);
         ++number;
     }
     std::vector<std::thread> threads;
--- a/src/load/load_generator.h
+++ b/src/load/load_generator.h
@@ -14,7 +14,8 @@
 
 /// Where and how long the load generator sends.
 struct LoadTarget {
-    std::vector<Endpoint> entries; // requests go to them in turn, as behind a balancer
+    std::vector<Endpoint> entries; // requests go to them in turn
+    bool isBalanced = true; // leave out entries that are not ready, as the platform's balancer does
     Duration timeout = seconds(60); // of one request
     unsigned threads = 2;
 };
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -139,9 +139,8 @@
     std::vector<Endpoint> unused;
     const auto members = list_.all();
     for (const auto &seed : seeds_) {
-        const bool isUsed = std::any_of(members.begin(), members.end(), [&](const auto &record) {
-            return isLiveStatus(record.status) && record.address == seed;
-        });
+        const bool isUsed =
+            std::any_of(members.begin(), members.end(), [&](const auto &record) { return isLiveStatus(record.status) && record.address == seed; });
         if (!isUsed) {
             unused.push_back(seed);
         }
