Test the controller on a virtual zone and correct three faults that it showed

Cause: lease, repair and order rules have to hold together under overlapping faults. Change: zone simulation (engines sharing a weight store, daemons that pause, are cut off, lose answers or have orders under way) and controller tests, run for engines that check fencing and for engines that ignore it. (2) After an outage another daemon took every lapsed lease before its holder could renew: a contender whose read failed now waits for the whole lease time again.

--- a/src/assignment/controller.cpp
+++ b/src/assignment/controller.cpp
@@ -36,8 +36,8 @@
     , ports_(settings.ports_)
     , onRecord_(settings.onRecord_)
 {
-    zoneView_.settings = settings.settings_;
-    zoneView_.observedSince = ports_.clock->now();
+    zoneView_->settings = settings.settings_;
+    zoneView_->observedSince = ports_.clock->now();
 }
 
 Controller::~Controller()
@@ -94,7 +94,7 @@
 
 void Controller::setSettings(AssignmentSettings settings)
 {
-    zoneView_.settings = std::move(settings);
+    zoneView_->settings = std::move(settings);
 }
 
 void Controller::setWatcher(bool isWatcher)
@@ -104,7 +104,7 @@
 
 void Controller::setInventory(std::vector<VmRecord> vms)
 {
-    zoneView_.inventory.clear();
+    zoneView_->inventory.clear();
     for (auto &vm : vms) {
         if (vm.zone != zone_) {
             continue;
@@ -112,14 +112,14 @@
         if (!vm.domain.isEmpty()) {
             domainController({zone_, vm.domain});
         }
-        zoneView_.inventory.push_back(std::move(vm));
+        zoneView_->inventory.push_back(std::move(vm));
     }
-    zoneView_.isInventoryKnown = true;
+    zoneView_->isInventoryKnown = true;
 }
 
 void Controller::observe(const VmId &vm, const VmObservation &observation)
 {
-    auto &known = zoneView_.observations[vm];
+    auto &known = zoneView_->observations[vm];
     if (known.seenAt <= observation.seenAt) {
         known = observation;
     }
@@ -132,12 +132,12 @@
 
 void Controller::drainVm(const VmId &vm)
 {
-    zoneView_.drainedByOperator.insert(vm);
+    zoneView_->drainedByOperator.insert(vm);
 }
 
 void Controller::handlePause()
 {
-    zoneView_.observedSince = ports_.clock->now();
+    zoneView_->observedSince = ports_.clock->now();
     for (const auto &[key, controller] : controllers_) {
         controller->handlePause();
     }
@@ -178,7 +178,8 @@
 
 void Controller::planZone()
 {
-    const bool isNeeded = std::any_of(controllers_.begin(), controllers_.end(), [](const auto &entry) { return entry.second->leaseState() != LeaseState::Follower; });
+    const bool isNeeded =
+        std::any_of(controllers_.begin(), controllers_.end(), [](const auto &entry) { return entry.second->leaseState() != LeaseState::Follower; });
     if (!isNeeded) {
         return;
     }
@@ -187,11 +188,12 @@
         DomainRecord absent;
         absent.key = key;
         const auto *record = controller->record();
-        const auto &view = zoneView_;
-        domains.push_back(summarizeDomain(record ? *record : absent, view.inventory, view.observations, view.settings, view.observedSince, ports_.clock->now()));
+        const auto &view = *zoneView_;
+        domains.push_back(
+            summarizeDomain(record ? *record : absent, view.inventory, view.observations, view.settings, view.observedSince, ports_.clock->now()));
     }
-    const auto *strategy = findAssignmentStrategy(zoneView_.settings.strategy);
-    zoneView_.plan = carawaypoint::planZone(domains, zoneView_.settings, strategy ? *strategy : assignmentStrategies().back());
+    const auto *strategy = findAssignmentStrategy(zoneView_->settings.strategy);
+    zoneView_->plan = carawaypoint::planZone(domains, zoneView_->settings, strategy ? *strategy : assignmentStrategies().back());
 }
 
 void Controller::watch()
@@ -299,7 +301,7 @@
     std::vector<ReplicaView> views;
     for (const auto &record : records()) {
         for (const auto &replica : record.replicas) {
-            views.push_back(replicaView(record, replica, zoneView_.observations));
+            views.push_back(replicaView(record, replica, zoneView_->observations));
         }
     }
     return views;
@@ -314,7 +316,7 @@
 DomainStatus Controller::domainStatus(const DomainRecord &record) const
 {
     const auto now = ports_.clock->now();
-    const auto &view = zoneView_;
+    const auto &view = *zoneView_;
     const auto summary = summarizeDomain(record, {}, view.observations, view.settings, view.observedSince, now);
     DomainStatus status;
     status.key = record.key;
@@ -325,7 +327,8 @@
     status.unconfirmedControllers = static_cast<std::uint32_t>(record.unconfirmed.size());
     for (const auto &vm : record.vms) {
         const auto *replica = record.replica(vm.replica);
-        const auto whole = std::any_of(summary.replicas.begin(), summary.replicas.end(), [&](const auto &entry) { return entry.id == vm.replica && entry.isWhole; });
+        const auto whole =
+            std::any_of(summary.replicas.begin(), summary.replicas.end(), [&](const auto &entry) { return entry.id == vm.replica && entry.isWhole; });
         const auto seen = view.observations.find(vm.id);
         VmStatus entry{vm.id, vm.phase, vm.replica, replica && replica->spare == vm.id, false, vm.isDraining, 0};
         entry.isMissing = isMissing(vm.id, view.observations, view.settings, view.observedSince, now);
@@ -345,7 +348,7 @@
 {
     AssignmentStatus status;
     const auto now = ports_.clock->now();
-    const auto &view = zoneView_;
+    const auto &view = *zoneView_;
     for (const auto &record : records()) {
         const auto summary = summarizeDomain(record, {}, view.observations, view.settings, view.observedSince, now);
         status.domains.push_back(domainStatus(record));
--- a/src/assignment/controller.h
+++ b/src/assignment/controller.h
@@ -58,7 +58,7 @@
 
 /// Assignment in the daemon's zone: contends for the lease of each fabric domain and drives the domains that it holds.
 ///
-/// All methods are called on the control thread. The ports, and the object itself, must outlive the calls under way.
+/// All methods are called on the control thread. The ports must outlive the calls under way.
 class Controller
 {
 public:
@@ -133,7 +133,7 @@
     std::vector<DomainRecord> records() const;
     const VmObservations &observations() const
     {
-        return zoneView_.observations;
+        return zoneView_->observations;
     }
     /// Replicas for the routing snapshot. One with a member that differs from the record has no members that count as seen.
     std::vector<ReplicaView> replicaViews() const;
@@ -157,7 +157,7 @@
     ControllerRef self_;
     ControllerPorts ports_;
     RecordCallback onRecord_;
-    ZoneView zoneView_;
+    std::shared_ptr<ZoneView> zoneView_ = std::make_shared<ZoneView>(); // shared with the domains' controllers, whose calls may outlive this object
     std::map<DomainKey, std::shared_ptr<DomainController>> controllers_;
     std::map<DomainKey, KnownRecord> remote_; // records of other zones
     std::vector<MemberId> liveMembers_;
--- a/src/assignment/decision.cpp
+++ b/src/assignment/decision.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr std::string_view KindNames[] = {
-    "add_vm",      "remove_vm",  "mark_vm_draining", "create_replica",   "drain_replica", "resume_replica", "replace_member",     "remove_member",
-    "add_member", "update_replica", "dissolve_replica", "bind_spare", "release_spare", "free_vm",        "confirm_controller",
+    "add_vm",     "remove_vm",      "mark_vm_draining", "create_replica", "drain_replica", "resume_replica", "replace_member",     "remove_member",
+    "add_member", "update_replica", "dissolve_replica", "bind_spare",     "release_spare", "free_vm",        "confirm_controller", "renew_fence",
 };
 
 FencingNumber nextFence(DomainRecord &record)
@@ -231,11 +231,29 @@
     return std::erase(record.unconfirmed, decision.controller) > 0;
 }
 
+bool renewFence(DomainRecord &record, const Decision &decision, const AssignmentSettings &)
+{
+    if (decision.fence.epoch > record.epoch) {
+        return false;
+    }
+    record.lastIncarnation = std::max(record.lastIncarnation, decision.fence.incarnation);
+    if (auto *replica = record.replica(decision.replica)) {
+        replica->fence = nextFence(record);
+        return true;
+    }
+    auto *vm = record.vm(decision.vm);
+    if (!vm || vm->phase != VmPhase::Releasing) {
+        return false;
+    }
+    vm->releaseFence = nextFence(record);
+    return true;
+}
+
 using Apply = bool (*)(DomainRecord &, const Decision &, const AssignmentSettings &);
 
 constexpr std::array<Apply, std::size(KindNames)> Appliers{
     addVm,     removeVm,      markVmDraining,  createReplica, drainReplica, resumeReplica, replaceMember,     removeMember,
-    addMember, updateReplica, dissolveReplica, bindSpare,     releaseSpare, freeVm,        confirmController,
+    addMember, updateReplica, dissolveReplica, bindSpare,     releaseSpare, freeVm,        confirmController, renewFence,
 };
 
 }
--- a/src/assignment/domain_controller.cpp
+++ b/src/assignment/domain_controller.cpp
@@ -26,28 +26,22 @@
         for (const auto &member : decision.members) {
             members += (members.empty() ? "" : " ") + member.str();
         }
-        logDecision("placement",
-                    subject,
-                    decisionKindName(decision.kind),
-                    decision.reason,
-                    {{"domain", record.key.objectName()},
-                     {"epoch", record.epoch},
-                     {"vm", decision.vm.str()},
-                     {"other", decision.other.str()},
-                     {"members", members}});
+        logDecision(
+            "placement", subject, decisionKindName(decision.kind), decision.reason,
+            {{"domain", record.key.objectName()}, {"epoch", record.epoch}, {"vm", decision.vm.str()}, {"other", decision.other.str()}, {"members", members}});
     }
 }
 
 }
 
-DomainController::DomainController(DomainKey key, ControllerRef self, ControllerPorts ports, const ZoneView &zone, RecordCallback onRecord)
+DomainController::DomainController(DomainKey key, ControllerRef self, ControllerPorts ports, std::shared_ptr<const ZoneView> zone, RecordCallback onRecord)
     : key_(std::move(key))
     , self_(std::move(self))
     , ports_(ports)
-    , zone_(&zone)
+    , zone_(std::move(zone))
     , onRecord_(std::move(onRecord))
-    , lease_(zone.settings.leaseDuration, zone.settings.leaseMargin)
-    , orders_(zone.settings.maxOrderLifetime)
+    , lease_(zone_->settings.leaseDuration, zone_->settings.leaseMargin)
+    , orders_(zone_->settings.maxOrderLifetime)
 {
 }
 
@@ -126,35 +120,47 @@
     }
     isCallUnderWay_ = true;
     nextReadAt_ = now() + RetryPeriod;
-    const auto readFor = known_ ? std::optional(known_->version) : std::nullopt;
-    ports_.store->fetch(Kind, key_.objectName(), [self = shared_from_this(), call = callGeneration_, readFor](std::error_code error, const StoredObject &object) {
-        if (call != self->callGeneration_) {
-            return;
-        }
-        self->isCallUnderWay_ = false;
-        if (error == ResultCode::ObjectNotFound) {
-            KnownRecord absent;
-            absent.record.key = self->key_;
-            // The record of a store that was restored from a copy without it is written back from the known one.
-            self->claim(self->known_ ? KnownRecord{self->known_->record, 0, self->now()} : absent);
-            return;
-        }
-        if (error) {
-            return;
-        }
-        auto record = decodeDomainRecord(object.value);
-        if (!record || record->key != self->key_) {
-            logLine(LogLevel::Error, "domain record is malformed and is left alone", {{"object", object.name}, {"version", object.version}});
-            return;
-        }
-        const bool isOlder = self->known_ && self->known_->record.isNewerThan(*record);
-        if (isOlder || (readFor == object.version && self->known_)) {
-            // The holder did not write since this process saw the version, or the platform went back to an older copy.
-            self->claim({self->known_->record, object.version, self->now()});
-            return;
-        }
-        self->remember(std::move(*record), object.version);
-    });
+    const auto version = known_ ? std::optional(known_->version) : std::nullopt;
+    ports_.store->fetch(Kind, key_.objectName(),
+                        [self = shared_from_this(), call = callGeneration_, version](std::error_code error, const StoredObject &object) {
+                            if (call == self->callGeneration_) {
+                                self->isCallUnderWay_ = false;
+                                self->handleContention(error, object, version);
+                            }
+                        });
+}
+
+void DomainController::handleContention(std::error_code error, const StoredObject &object, std::optional<std::uint64_t> version)
+{
+    const bool isAbsent = error == ResultCode::ObjectNotFound;
+    if (known_ && ((error && !isAbsent) || std::exchange(wasUnreachable_, false))) {
+        // While the platform was out of reach the holder could not renew either. It gets the whole time again, so that a
+        // return of the platform does not hand every domain to another daemon.
+        known_->seenAt = now();
+        wasUnreachable_ = error && !isAbsent;
+        return;
+    }
+    if (isAbsent) {
+        KnownRecord absent;
+        absent.record.key = key_;
+        // The record that a restored store no longer has is written back from the known one.
+        claim(known_ ? KnownRecord{known_->record, 0, now()} : absent);
+        return;
+    }
+    if (error) {
+        return;
+    }
+    auto record = decodeDomainRecord(object.value);
+    if (!record || record->key != key_) {
+        logLine(LogLevel::Error, "domain record is malformed and is left alone", {{"object", object.name}, {"version", object.version}});
+        return;
+    }
+    if (known_ && (version == object.version || known_->record.isNewerThan(*record))) {
+        // The holder did not write since this process saw the version, or the platform went back to an older copy.
+        claim({known_->record, object.version, now()});
+        return;
+    }
+    remember(std::move(*record), object.version);
 }
 
 void DomainController::claim(const KnownRecord &stored)
@@ -164,6 +170,12 @@
         next.unconfirmed.push_back(*next.holder);
         next.lastIncarnation += IncarnationsOfIsolatedHolder;
     }
+    for (const auto &vm : next.vms) {
+        // An engine that has a higher epoch was ordered by a controller whose record the platform has lost.
+        if (const auto seen = zone_->observations.find(vm.id); seen != zone_->observations.end()) {
+            next.epoch = std::max(next.epoch, seen->second.state.fence.epoch);
+        }
+    }
     ++next.epoch;
     for (auto &vm : next.vms) {
         if (vm.phase == VmPhase::Releasing) {
@@ -188,8 +200,8 @@
     isCallUnderWay_ = true;
     lastWriteAt_ = now();
     lease_.handle(start, now());
-    auto handler = [self = shared_from_this(), call = callGeneration_, next = std::move(next), decisions = std::move(decisions), whenDone = std::move(whenDone)](
-                       std::error_code error, std::uint64_t version) mutable {
+    auto handler = [self = shared_from_this(), call = callGeneration_, next = std::move(next), decisions = std::move(decisions),
+                    whenDone = std::move(whenDone)](std::error_code error, std::uint64_t version) mutable {
         if (call == self->callGeneration_) {
             self->isCallUnderWay_ = false;
             self->nextReadAt_ = {};
@@ -263,10 +275,13 @@
     // The token tells which of the own writes took effect: the stored record is that one, or the one before.
     lease_.handle(LeaseEvent::ReadOwn, now());
     const auto sequence = std::max(stored.sequence, known_->record.sequence);
+    // Incarnations given in isolation are not given again.
+    const auto incarnation = std::max(stored.lastIncarnation, known_->record.lastIncarnation);
     recordedSequence_ = stored.sequence;
     remember(std::move(stored), version);
     auto next = known_->record;
     next.sequence = sequence;
+    next.lastIncarnation = incarnation;
     std::vector<Decision> recorded;
     for (auto &decision : std::exchange(isolatedDecisions_, {})) {
         if (applyDecision(next, decision, zone_->settings)) {
@@ -382,17 +397,17 @@
         }
         asked = now();
         const auto epoch = known_->record.epoch;
-        ports_.formerControllers->confirmNoOrdersInFlight(
-            former, key_, epoch, [self = shared_from_this(), former, epoch](std::error_code error, FormerControllerReply reply) {
-                if (error || !self->known_ || self->known_->record.epoch != epoch) {
-                    return;
-                }
-                if (reply == FormerControllerReply::NoOrdersInFlight) {
-                    self->confirmed_.insert(former);
-                } else if (reply == FormerControllerReply::ProcessEnded) {
-                    self->endedSince_.emplace(former, self->now());
-                }
-            });
+        ports_.formerControllers->confirmNoOrdersInFlight(former, key_, epoch,
+                                                          [self = shared_from_this(), former, epoch](std::error_code error, FormerControllerReply reply) {
+                                                              if (error || !self->known_ || self->known_->record.epoch != epoch) {
+                                                                  return;
+                                                              }
+                                                              if (reply == FormerControllerReply::NoOrdersInFlight) {
+                                                                  self->confirmed_.insert(former);
+                                                              } else if (reply == FormerControllerReply::ProcessEnded) {
+                                                                  self->endedSince_.emplace(former, self->now());
+                                                              }
+                                                          });
     }
 }
 
--- a/src/assignment/domain_controller.h
+++ b/src/assignment/domain_controller.h
@@ -49,7 +49,7 @@
 public:
     using RecordCallback = std::function<void(const KnownRecord &)>;
 
-    DomainController(DomainKey key, ControllerRef self, ControllerPorts ports, const ZoneView &zone, RecordCallback onRecord);
+    DomainController(DomainKey key, ControllerRef self, ControllerPorts ports, std::shared_ptr<const ZoneView> zone, RecordCallback onRecord);
 
     /// Does what is due. @p contendDelay: additional waiting time before this daemon takes a lease that has run out.
     /// @p mayContend is false while the daemon stops.
@@ -79,6 +79,7 @@
 
 private:
     void contend(Duration delay);
+    void handleContention(std::error_code error, const StoredObject &object, std::optional<std::uint64_t> version);
     void claim(const KnownRecord &stored);
     void readBack();
     void handleReadBack(std::error_code error, const StoredObject &object);
@@ -100,7 +101,7 @@
     DomainKey key_;
     ControllerRef self_;
     ControllerPorts ports_;
-    const ZoneView *zone_;
+    std::shared_ptr<const ZoneView> zone_;
     RecordCallback onRecord_;
     LeaseHolder lease_;
     OrderTracker orders_;
@@ -117,6 +118,7 @@
     std::uint64_t tokenCount_ = 0;
     std::uint64_t callGeneration_ = 0; // answers of calls from before a pause are ignored
     bool isCallUnderWay_ = false;
+    bool wasUnreachable_ = false; // the last read of a contender failed
 };
 
 }
--- a/src/assignment/former_controller_client.h
+++ b/src/assignment/former_controller_client.h
@@ -25,9 +25,7 @@
 
     /// @param presentEpoch of the record; the asked daemon gives the lease up when its own epoch is lower.
     /// The handler runs on the control thread, once. An error means that there was no answer, which confirms nothing.
-    virtual void
-    confirmNoOrdersInFlight(const ControllerRef &former, const DomainKey &domain, std::uint64_t presentEpoch, ReplyHandler handler)
-        = 0;
+    virtual void confirmNoOrdersInFlight(const ControllerRef &former, const DomainKey &domain, std::uint64_t presentEpoch, ReplyHandler handler) = 0;
 };
 
 }
--- a/src/assignment/repair.cpp
+++ b/src/assignment/repair.cpp
@@ -26,6 +26,7 @@
         confirmControllers();
         syncInventory();
         freeReleased();
+        renewFences();
         drainReplicas();
         finishDraining();
         repairReplicas();
@@ -41,7 +42,11 @@
             const auto *replica = record_.replica(id);
             const auto missing = firstMissingMember(*replica);
             if (missing && !replica->spare.isEmpty() && !isMissing(replica->spare)) {
-                add({.kind = DecisionKind::ReplaceMember, .vm = *missing, .other = replica->spare, .replica = id, .reason = "isolated: member missing, bound spare used"});
+                add({.kind = DecisionKind::ReplaceMember,
+                     .vm = *missing,
+                     .other = replica->spare,
+                     .replica = id,
+                     .reason = "isolated: member missing, bound spare used"});
             }
         }
         return std::move(decisions_);
@@ -112,7 +117,9 @@
         for (const auto &vm : vms) {
             const auto *entry = listed(vm.id);
             if (!vm.isDraining && ((entry && entry->isLeaving) || view_.drainedByOperator.contains(vm.id))) {
-                add({.kind = DecisionKind::MarkVmDraining, .vm = vm.id, .reason = entry && entry->isLeaving ? "leaving by the platform's list" : "drained by an operator"});
+                add({.kind = DecisionKind::MarkVmDraining,
+                     .vm = vm.id,
+                     .reason = entry && entry->isLeaving ? "leaving by the platform's list" : "drained by an operator"});
             }
             if (vm.phase == VmPhase::Free && isGone(vm.id)) {
                 add({.kind = DecisionKind::RemoveVm, .vm = vm.id, .reason = "no longer listed by the platform"});
@@ -130,6 +137,28 @@
         }
     }
 
+    void renewFences()
+    {
+        const auto vms = record_.vms;
+        for (const auto &vm : vms) {
+            const auto seen = view_.observations->find(vm.id);
+            if (seen == view_.observations->end() || vm.phase == VmPhase::Free || isMissing(vm.id)) {
+                continue;
+            }
+            const auto fence = seen->second.state.fence;
+            const auto *replica = record_.replica(vm.replica);
+            if (vm.phase == VmPhase::Releasing && fence > record_.vm(vm.id)->releaseFence) {
+                add({.kind = DecisionKind::RenewFence, .vm = vm.id, .fence = fence, .reason = "the engine has a higher fencing number"});
+            } else if (vm.phase == VmPhase::Bound && replica->spare != vm.id && fence > replica->fence) {
+                add({.kind = DecisionKind::RenewFence,
+                     .vm = vm.id,
+                     .replica = replica->id,
+                     .fence = fence,
+                     .reason = "the engine has a higher fencing number"});
+            }
+        }
+    }
+
     bool isSurplus(const ReplicaId &id) const
     {
         const auto since = view_.surplusSince.find(id);
--- a/src/assignment/repair.h
+++ b/src/assignment/repair.h
@@ -32,6 +32,7 @@
     ReleaseSpare, // vm is the replica's spare no more
     FreeVm, // a releasing VM is free
     ConfirmController, // a former controller has no order in flight
+    RenewFence, // an engine refuses the present fence of replica, or of the releasing vm, because it has a higher one
 };
 
 std::string_view decisionKindName(DecisionKind kind);
@@ -47,6 +48,7 @@
     Endpoint address{};
     std::string pool{};
     ControllerRef controller{};
+    FencingNumber fence{}; // as an engine reported it
     std::string reason{}; // for the log
 };
 
--- a/src/assignment/zone_plan.cpp
+++ b/src/assignment/zone_plan.cpp
@@ -92,7 +92,9 @@
 void planRemovals(std::vector<ReplicaRef> replicas, std::size_t count, ZonePlan &plan)
 {
     std::sort(replicas.begin(), replicas.end(), [](const ReplicaRef &left, const ReplicaRef &right) {
-        const auto rank = [](const ReplicaRef &ref) { return std::tuple(ref.replica->isCompletable, ref.replica->isWhole, ref.replica->live); };
+        const auto rank = [](const ReplicaRef &ref) {
+            return std::tuple(ref.replica->isCompletable, ref.replica->isWhole, ref.replica->live);
+        };
         return rank(left) != rank(right) ? rank(left) < rank(right) : right.replica->id < left.replica->id;
     });
     for (std::size_t index = 0; index < std::min(count, replicas.size()); ++index) {
@@ -115,7 +117,9 @@
         planRemovals(all, all.size() - target.replicas, plan);
     }
     const auto outdated = std::find_if(all.begin(), all.end(), [](const auto &ref) { return ref.replica->isOutdated; });
-    const auto isReady = [&](const ReplicaRef &ref) { return ref.replica == outdated->replica || !ref.replica->isCompletable || ref.replica->isWhole; };
+    const auto isReady = [&](const ReplicaRef &ref) {
+        return ref.replica == outdated->replica || !ref.replica->isCompletable || ref.replica->isWhole;
+    };
     if (outdated != all.end() && std::all_of(all.begin(), all.end(), isReady)) {
         plan.update[outdated->domain].insert(outdated->replica->id);
     }
@@ -170,7 +174,9 @@
 {
     DomainSummary summary;
     summary.domain = record.key.domain;
-    const auto missing = [&](const VmId &vm) { return isMissing(vm, observations, settings, observedSince, now); };
+    const auto missing = [&](const VmId &vm) {
+        return isMissing(vm, observations, settings, observedSince, now);
+    };
     for (const auto &vm : record.vms) {
         if (vm.phase == VmPhase::Free && !vm.isDraining && !missing(vm.id)) {
             ++summary.freeVms[vm.pool];
--- /dev/null
+++ b/tests/assignment/support/zone_simulation.cpp
@@ -0,0 +1,376 @@
+#include "support/zone_simulation.h"
+
+#include "assignment/replica_check.h"
+#include "core/result_code.h"
+
+#include <algorithm>
+
+namespace carawaypoint
+{
+namespace
+{
+
+constexpr Duration Step = milliseconds(250);
+constexpr Duration OrderTimeout = seconds(1);
+
+/// One daemon's access to the platform: answers wait while the daemon is paused.
+struct SimulatedStore : public ObjectStore {
+    SimulatedStore(MemoryObjectStore &platform, ZoneSimulation::Daemon &owner)
+        : store(platform)
+        , daemon(owner)
+    {
+    }
+
+    template<typename... Results>
+    auto queued(std::function<void(std::error_code, Results...)> handler)
+    {
+        return [this, handler](std::error_code error, Results... results) {
+            daemon.queue.push_back([=] { handler(error, results...); });
+        };
+    }
+
+    template<typename... Results>
+    bool isCut(const std::function<void(std::error_code, Results...)> &handler)
+    {
+        if (daemon.isCutFromPlatform) {
+            daemon.queue.push_back([=] { handler(ResultCode::PlatformUnavailable, std::decay_t<Results>{}...); });
+        }
+        return daemon.isCutFromPlatform;
+    }
+
+    void fetch(std::string_view kind, std::string_view name, ObjectHandler handler) override
+    {
+        if (!isCut(handler)) {
+            store.fetch(kind, name, queued(handler));
+        }
+    }
+    void put(std::string_view kind, std::string_view name, std::string value, WriteCondition condition, VersionHandler handler) override
+    {
+        if (!isCut(handler)) {
+            store.put(kind, name, std::move(value), condition, queued(handler));
+        }
+    }
+    void remove(std::string_view kind, std::string_view name, WriteCondition condition, DoneHandler handler) override
+    {
+        if (!isCut(handler)) {
+            store.remove(kind, name, condition, queued(handler));
+        }
+    }
+    void list(std::string_view kind, ListHandler handler) override
+    {
+        if (!isCut(handler)) {
+            store.list(kind, queued(handler));
+        }
+    }
+    void watch(std::string_view kind, std::uint64_t afterRevision, Duration wait, WatchHandler handler) override
+    {
+        if (!isCut(handler)) {
+            store.watch(kind, afterRevision, wait, queued(handler));
+        }
+    }
+    void listVms(VmListHandler handler) override
+    {
+        if (!isCut(handler)) {
+            store.listVms(queued(handler));
+        }
+    }
+
+    MemoryObjectStore &store;
+    ZoneSimulation::Daemon &daemon;
+};
+
+}
+
+struct SimulatedEngines : public EngineClient {
+    SimulatedEngines(ZoneSimulation &zone, std::string daemon)
+        : simulation(zone)
+        , sender(std::move(daemon))
+    {
+    }
+    void sendOrder(const Endpoint &engine, const EngineOrder &order, OrderHandler handler) override
+    {
+        simulation.deliver(sender, engine, order, handler);
+    }
+    void fetchState(const Endpoint &, StateHandler) override
+    {
+    }
+    void fetchCacheEvents(const Endpoint &, std::uint64_t, CacheHandler) override
+    {
+    }
+
+    ZoneSimulation &simulation;
+    std::string sender;
+};
+
+struct SimulatedPeers : public FormerControllerClient {
+    SimulatedPeers(ZoneSimulation &zone, std::string daemon)
+        : simulation(zone)
+        , sender(std::move(daemon))
+    {
+    }
+    void confirmNoOrdersInFlight(const ControllerRef &former, const DomainKey &domain, std::uint64_t presentEpoch, ReplyHandler handler) override
+    {
+        auto &own = *simulation.daemons.at(sender);
+        const auto asked = simulation.daemons.find(former.daemon.str());
+        if (asked == simulation.daemons.end() || asked->second->isPaused) {
+            own.queue.push_back([handler] { handler(ResultCode::PeerUnavailable, {}); });
+            return;
+        }
+        const auto reply = asked->second->controller->answerConfirmation(domain, presentEpoch, former.process);
+        own.queue.push_back([handler, reply] { handler({}, reply); });
+    }
+
+    ZoneSimulation &simulation;
+    std::string sender;
+};
+
+void ZoneSimulation::Daemon::releaseOrders()
+{
+    holdsOrders = false;
+    for (const auto &order : std::exchange(held, {})) {
+        order();
+    }
+}
+
+void ZoneSimulation::Daemon::resume()
+{
+    isPaused = false;
+    controller->handlePause();
+}
+
+ZoneSimulation::ZoneSimulation(AssignmentSettings zoneSettings, bool checksFencing)
+    : settings(std::move(zoneSettings))
+    , checksFencing_(checksFencing)
+{
+    settings.enginesCheckFencing["pool"] = checksFencing;
+}
+
+ZoneSimulation::~ZoneSimulation() = default;
+
+void ZoneSimulation::addDomain(const std::string &name, int vms)
+{
+    for (int index = 0; index < vms; ++index) {
+        const VmId id(name + "-" + std::to_string(100 + index));
+        const Endpoint address{"10.0.0.1", static_cast<std::uint16_t>(engines.size() + 1)};
+        auto &engine = engines[id];
+        engine.domain = FabricDomainId(name);
+        engine.checksFencing = checksFencing_;
+        engine.state.vm = id;
+        engine.state.processIncarnation = ++lastProcess_;
+        inventory.push_back({id, address, ZoneId("z"), engine.domain, "pool", false});
+    }
+}
+
+ZoneSimulation::Daemon &ZoneSimulation::addDaemon(const std::string &name)
+{
+    auto &daemon = daemons[name];
+    daemon = std::make_unique<Daemon>();
+    daemon->name = name;
+    daemon->store = std::make_unique<SimulatedStore>(store, *daemon);
+    daemon->engines = std::make_unique<SimulatedEngines>(*this, name);
+    daemon->peers = std::make_unique<SimulatedPeers>(*this, name);
+    const ControllerRef self{MemberId(name), {"10.1.0.1", 1}, ++lastProcess_, 0};
+    const ControllerPorts ports{daemon->store.get(), daemon->engines.get(), daemon->peers.get(), &clock};
+    daemon->controller = Controller::Builder(context.get_executor(), ZoneId("z"), self, ports).settings(settings).build();
+    daemon->controller->setWatcher(true);
+    std::vector<MemberId> members;
+    for (const auto &[other, entry] : daemons) {
+        members.emplace_back(other);
+    }
+    for (const auto &[other, entry] : daemons) {
+        entry->controller->setLiveMembers(members);
+    }
+    return *daemon;
+}
+
+void ZoneSimulation::run(Duration time)
+{
+    runUntil([] { return false; }, time);
+}
+
+void ZoneSimulation::step()
+{
+    clock.advance(Step);
+    std::vector<Timed> due;
+    std::erase_if(timed_, [&](const Timed &timed) {
+        if (timed.at <= clock.now()) {
+            due.push_back(timed);
+        }
+        return timed.at <= clock.now();
+    });
+    for (const auto &timed : due) {
+        timed.action();
+    }
+    loadWeights();
+    for (auto &[name, daemon] : daemons) {
+        if (daemon->isPaused) {
+            continue;
+        }
+        if (!daemon->isCutFromPlatform) {
+            daemon->controller->setInventory(inventory);
+        }
+        for (const auto &[id, engine] : engines) {
+            if (engine.isAlive) {
+                daemon->controller->observe(id, {clock.now(), engine.state});
+            }
+        }
+        daemon->controller->tick();
+    }
+    for (int round = 0; round < 4; ++round) {
+        context.restart();
+        context.poll();
+        for (auto &[name, daemon] : daemons) {
+            while (!daemon->isPaused && !daemon->queue.empty()) {
+                const auto action = std::move(daemon->queue.front());
+                daemon->queue.pop_front();
+                action();
+            }
+        }
+    }
+}
+
+void ZoneSimulation::loadWeights()
+{
+    std::vector<Engine *> loading;
+    for (auto &[id, engine] : engines) {
+        if (engine.isAlive && engine.state.role != EngineRole::None && !engine.state.isLoaded) {
+            loading.push_back(&engine);
+        }
+    }
+    const double share = loading.empty() ? 0 : loadsPerSecond * std::chrono::duration<double>(Step).count() / static_cast<double>(loading.size());
+    for (auto *engine : loading) {
+        engine->loaded += share;
+        engine->state.loadProgress = std::min(1.0, engine->loaded);
+        if (engine->loaded >= 1 - 1e-9) {
+            engine->state.isLoaded = true;
+            engine->state.cachedModels = {engine->state.model};
+        }
+    }
+}
+
+void ZoneSimulation::deliver(const std::string &sender, const Endpoint &address, const EngineOrder &order, const EngineClient::OrderHandler &handler)
+{
+    auto &daemon = *daemons.at(sender);
+    auto arrive = [this, &daemon, address, order, handler] {
+        const auto record = std::find_if(inventory.begin(), inventory.end(), [&](const VmRecord &vm) { return vm.address == address; });
+        const auto found = record == inventory.end() ? engines.end() : engines.find(record->id);
+        const bool isAnswered = found != engines.end() && found->second.isAlive && !daemon.losesOrderAnswers;
+        const auto result = found != engines.end() && found->second.isAlive ? carryOut(found->second, order) : std::error_code();
+        if (isAnswered) {
+            daemon.queue.push_back([handler, result] { handler(result); });
+        }
+        return isAnswered;
+    };
+    if (daemon.holdsOrders) {
+        // The connection times out while the order itself stays under way.
+        daemon.held.push_back([arrive, handler] { arrive(); });
+        timed_.push_back({clock.now() + OrderTimeout, [&daemon, handler] {
+                              daemon.queue.push_back([handler] { handler(ResultCode::BackendTimeout); });
+                          }});
+        return;
+    }
+    timed_.push_back({clock.now(), [this, arrive, handler, &daemon] {
+                          if (!arrive()) {
+                              timed_.push_back({clock.now() + OrderTimeout, [&daemon, handler] {
+                                                    daemon.queue.push_back([handler] { handler(ResultCode::BackendTimeout); });
+                                                }});
+                          }
+                      }});
+}
+
+std::error_code ZoneSimulation::carryOut(Engine &engine, const EngineOrder &order)
+{
+    auto &state = engine.state;
+    if (engine.checksFencing && order.fence < state.fence) {
+        return ResultCode::OrderStale;
+    }
+    checkOrder(engine, order);
+    const bool hasModel = order.role != EngineRole::None
+        && std::find(state.cachedModels.begin(), state.cachedModels.end(), order.model) != state.cachedModels.end() && state.version == order.version;
+    const bool isSame = state.replica == order.replica && state.fence == order.fence && state.role == order.role;
+    state.fence = order.fence;
+    state.replica = order.replica;
+    state.role = order.role;
+    state.model = order.model;
+    if (!isSame) {
+        engine.loaded = hasModel ? 1 : state.version == order.version ? engine.loaded : 0;
+        state.isLoaded = hasModel;
+    }
+    state.version = order.role == EngineRole::None ? state.version : order.version;
+    return {};
+}
+
+void ZoneSimulation::checkOrder(const Engine &engine, const EngineOrder &order)
+{
+    const auto record = stored(engine.domain.str());
+    const auto *vm = record.vm(engine.state.vm);
+    const bool isAllowed = vm && (order.replica.isEmpty() || vm->replica == order.replica);
+    if (!isAllowed) {
+        violations.push_back(engine.state.vm.str() + " ordered into " + order.replica.str() + " while recorded in '" + (vm ? vm->replica.str() : "?") + "'");
+    }
+}
+
+void ZoneSimulation::kill(const std::string &vm)
+{
+    engine(vm).isAlive = false;
+}
+
+void ZoneSimulation::restart(const std::string &vm)
+{
+    auto &target = engine(vm);
+    target.isAlive = true;
+    target.loaded = 0;
+    target.state = {};
+    target.state.vm = VmId(vm);
+    target.state.processIncarnation = ++lastProcess_;
+}
+
+void ZoneSimulation::setDomainDark(const std::string &domain, bool isDark)
+{
+    for (auto &[id, engine] : engines) {
+        if (engine.domain.str() == domain && isDark) {
+            kill(id.str());
+        } else if (engine.domain.str() == domain) {
+            restart(id.str());
+        }
+    }
+}
+
+DomainRecord ZoneSimulation::stored(const std::string &domain)
+{
+    const auto copy = store.copy();
+    const auto found = copy.objects.find({"domain", "z." + domain});
+    return found == copy.objects.end() ? DomainRecord{} : decodeDomainRecord(found->second.value).value_or(DomainRecord{});
+}
+
+std::size_t ZoneSimulation::wholeReplicas()
+{
+    std::size_t whole = 0;
+    const auto copy = store.copy();
+    for (const auto &[key, object] : copy.objects) {
+        const auto record = decodeDomainRecord(object.value);
+        if (!record) {
+            continue;
+        }
+        whole += static_cast<std::size_t>(std::count_if(record->replicas.begin(), record->replicas.end(), [&](const ReplicaEntry &replica) {
+            return replica.members.size() == replica.expectedMembers && std::all_of(replica.members.begin(), replica.members.end(), [&](const VmId &id) {
+                       const auto &engine = engines.at(id);
+                       return engine.isAlive && engine.state.isLoaded && checkPlacement(*record, id, engine.state) == PlacementCheck::Matches;
+                   });
+        }));
+    }
+    return whole;
+}
+
+std::vector<std::string> ZoneSimulation::holders(const std::string &domain)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, daemon] : daemons) {
+        if (daemon->controller->holdsLease({ZoneId("z"), FabricDomainId(domain)})) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+}
