--- a/src/assignment/repair.cpp
+++ b/src/assignment/repair.cpp
@@ -26,6 +26,7 @@
         confirmControllers();
         syncInventory();
         freeReleased();
+        renewFences();
         drainReplicas();
         finishDraining();
         repairReplicas();
@@ -136,6 +137,28 @@
         }
     }
 
+    void renewFences()
+    {
+        const auto vms = record_.vms;
+        for (const auto &vm : vms) {
+            const auto seen = view_.observations->find(vm.id);
+            if (seen == view_.observations->end() || vm.phase == VmPhase::Free || isMissing(vm.id)) {
+                continue;
+            }
+            const auto fence = seen->second.state.fence;
+            const auto *replica = record_.replica(vm.replica);
+            if (vm.phase == VmPhase::Releasing && fence > record_.vm(vm.id)->releaseFence) {
+                add({.kind = DecisionKind::RenewFence, .vm = vm.id, .fence = fence, .reason = "the engine has a higher fencing number"});
+            } else if (vm.phase == VmPhase::Bound && replica->spare != vm.id && fence > replica->fence) {
+                add({.kind = DecisionKind::RenewFence,
+                     .vm = vm.id,
+                     .replica = replica->id,
+                     .fence = fence,
+                     .reason = "the engine has a higher fencing number"});
+            }
+        }
+    }
+
     bool isSurplus(const ReplicaId &id) const
     {
         const auto since = view_.surplusSince.find(id);
