--- /dev/null
+++ b/experiments/event_loop.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace carawaypoint::experiments
+{
+
+/// Runs events in the order of their virtual time; events of one moment run in the order in which they were added.
+class EventLoop
+{
+public:
+    using Action = std::function<void()>;
+
+    const ManualClock &clock() const
+    {
+        return clock_;
+    }
+    TimePoint now() const
+    {
+        return clock_.now();
+    }
+    void at(TimePoint time, Action action);
+    void after(Duration delay, Action action);
+    void runUntil(TimePoint end);
+
+private:
+    struct Event {
+        TimePoint time;
+        std::uint64_t sequence = 0;
+        Action action;
+
+        bool operator>(const Event &other) const
+        {
+            return std::pair(time, sequence) > std::pair(other.time, other.sequence);
+        }
+    };
+
+    ManualClock clock_;
+    std::uint64_t sequence_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+};
+
+}
