Add the command line: config check, diff, apply, show, status, reference; status, alarms, explain, drain

Cause: operators change and inspect the system from any machine. Change: subcommands in a table on CLI11 with documented exit codes; a synchronous Beast client with time limits that tries daemons in turn and never re-sends a change that may have taken effect; config apply sends the generation that the files are based on, shows what another operator changed, reads back after a lost answer and waits until in force. Ruled out: taking the generation in force as the base when the directory has no record of it (it would revert another operator's change without a word).

--- /dev/null
+++ b/src/cli/admin_client.cpp
@@ -0,0 +1,152 @@
+#include "cli/admin_client.h"
+
+#include "core/result_code.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cctype>
+#include <utility>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+/// An answer holds at most a configuration, whose JSON escapes can double a megabyte, or the status of a fleet.
+constexpr std::uint64_t MaxAnswerBytes = 16'000'000;
+constexpr Duration ConnectTimeout = seconds(3);
+
+/// One request over a connection of its own. Beast's time limits apply to asynchronous operations only, so the steps are
+/// asynchronous on a local context.
+class Exchange
+{
+public:
+    explicit Exchange(Duration timeout)
+        : stream_(context_)
+        , timeout_(timeout)
+    {
+    }
+
+    AdminAnswer run(const Endpoint &daemon, std::string_view method, std::string_view target, std::string_view body)
+    {
+        AdminAnswer answer;
+        answer.daemon = daemon;
+        beast::error_code error;
+        const auto address = asio::ip::make_address(daemon.address, error);
+        if (!error) {
+            stream_.expires_after(ConnectTimeout);
+            stream_.async_connect({address, daemon.port}, [&](beast::error_code result) { error = result; });
+            context_.run();
+        }
+        if (error) {
+            answer.error = error;
+            return answer;
+        }
+        http::request<http::string_body> request(http::string_to_verb(std::string(method)), std::string(target), 11);
+        request.set(http::field::host, daemon.toString());
+        request.set(http::field::connection, "close");
+        request.set(http::field::content_type, "application/json");
+        request.body() = body;
+        request.prepare_payload();
+        answer.wasSent = true;
+        answer.error = exchange(request);
+        answer.status = parser_.get().result_int();
+        answer.body = std::move(parser_.get().body());
+        return answer;
+    }
+
+private:
+    beast::error_code exchange(const http::request<http::string_body> &request)
+    {
+        beast::error_code error;
+        parser_.body_limit(MaxAnswerBytes);
+        stream_.expires_after(timeout_);
+        // A refused body is answered before it was read whole, so a failed write does not mean that there is no answer.
+        http::async_write(stream_, request, [&](beast::error_code, std::size_t) {
+            http::async_read(stream_, buffer_, parser_, [&](beast::error_code readError, std::size_t) { error = readError; });
+        });
+        context_.restart();
+        context_.run();
+        return error;
+    }
+
+    asio::io_context context_{1};
+    beast::tcp_stream stream_;
+    Duration timeout_;
+    beast::flat_buffer buffer_;
+    http::response_parser<http::string_body> parser_;
+};
+
+}
+
+AdminClient::AdminClient(std::vector<Endpoint> daemons, Duration timeout)
+    : daemons_(std::move(daemons))
+    , timeout_(timeout)
+{
+}
+
+AdminAnswer AdminClient::get(std::string_view target) const
+{
+    AdminAnswer answer;
+    answer.error = make_error_code(ResultCode::PeerUnavailable);
+    for (const auto &daemon : daemons_) {
+        auto next = call(daemon, "GET", target, {});
+        // An answer that tells the fault is worth more than a failed connection.
+        if (!next.error || answer.error) {
+            answer = std::move(next);
+        }
+        if (!answer.error && answer.status < 500) {
+            break;
+        }
+    }
+    return answer;
+}
+
+AdminAnswer AdminClient::post(std::string_view target, std::string_view body) const
+{
+    AdminAnswer answer;
+    answer.error = make_error_code(ResultCode::PeerUnavailable);
+    for (const auto &daemon : daemons_) {
+        answer = call(daemon, "POST", target, body);
+        if (answer.wasSent) {
+            break;
+        }
+    }
+    return answer;
+}
+
+AdminAnswer AdminClient::call(const Endpoint &daemon, std::string_view method, std::string_view target, std::string_view body) const
+{
+    return Exchange(timeout_).run(daemon, method, target, body);
+}
+
+std::string encodeQueryValue(std::string_view text)
+{
+    static constexpr char Digits[] = "0123456789ABCDEF";
+    std::string result;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || byte == '-' || byte == '_' || byte == '.' || byte == '~') {
+            result += character;
+            continue;
+        }
+        result += '%';
+        result += Digits[byte >> 4U];
+        result += Digits[byte & 15U];
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/cli/remote_config.cpp
@@ -0,0 +1,158 @@
+#include "cli/remote_config.h"
+
+#include "cli/command_support.h"
+#include "core/result_code.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <ostream>
+#include <sstream>
+#include <stdexcept>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::string appliedPath(const std::string &directory)
+{
+    return (std::filesystem::path(directory) / ".applied.json").string();
+}
+
+bool writeFile(const std::string &path, const std::string &text)
+{
+    std::ofstream file(path, std::ios::binary | std::ios::trunc);
+    file << text;
+    file.close();
+    return !file.fail();
+}
+
+std::string valueText(const std::optional<EffectiveEntry> &entry)
+{
+    return entry ? "'" + entry->value + "' (" + entry->originText() + ")" : "none";
+}
+
+json::value valueJson(const std::optional<EffectiveEntry> &entry)
+{
+    return entry ? json::value(json::object{{"value", entry->value}, {"origin", entry->originText()}}) : json::value(nullptr);
+}
+
+/// An earlier configuration may have faults under the present schema; its values are then unknown.
+LoadedConfig loadOrEmpty(const ConfigDocuments &documents)
+{
+    return documents.base.empty() && documents.sites.empty() ? LoadedConfig{} : loadConfig(documents);
+}
+
+}
+
+std::optional<RemoteConfig> fetchConfig(const AdminClient &client, const CommandContext &context, ExitCode &failure)
+{
+    const auto answer = client.get("/admin/config");
+    if (answer.isOk()) {
+        return parseRemoteConfig(parseAnswer(answer));
+    }
+    if (!answer.error && answer.body.find(resultCodeName(ResultCode::ConfigMissing)) != std::string::npos) {
+        return RemoteConfig{};
+    }
+    failure = reportFailure(answer, context);
+    return std::nullopt;
+}
+
+RemoteConfig parseRemoteConfig(const json::object &body)
+{
+    const auto *generation = body.if_contains("generation");
+    const auto *documents = body.if_contains("documents");
+    json::error_code error;
+    const auto number = generation == nullptr ? 0 : generation->to_number<std::uint64_t>(error);
+    if (generation == nullptr || error || documents == nullptr) {
+        throw std::runtime_error("the daemon's answer lacks the members generation and documents");
+    }
+    std::string fault;
+    auto parsed = parseConfigDocuments(json::serialize(*documents), fault);
+    if (!parsed) {
+        throw std::runtime_error("the daemon's answer has faulty documents: " + fault);
+    }
+    return {number, *std::move(parsed)};
+}
+
+std::optional<RemoteConfig> readAppliedConfig(const std::string &directory)
+{
+    std::ifstream file(appliedPath(directory), std::ios::binary);
+    if (!file.is_open()) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    json::error_code error;
+    const auto value = json::parse(text.str(), error);
+    if (error || !value.is_object()) {
+        throw std::runtime_error(appliedPath(directory) + " is not a JSON object; export the configuration again with config show --export");
+    }
+    return parseRemoteConfig(value.as_object());
+}
+
+bool writeAppliedConfig(const std::string &directory, const RemoteConfig &config)
+{
+    return writeFile(appliedPath(directory), "{\"generation\":" + std::to_string(config.generation) + ",\"documents\":" + toJson(config.documents) + "}\n");
+}
+
+bool exportConfig(const std::string &directory, const RemoteConfig &config)
+{
+    std::error_code error;
+    std::filesystem::create_directories(std::filesystem::path(directory) / "sites", error);
+    auto documents = config.documents;
+    documents.prefix = (std::filesystem::path(directory) / "").string();
+    bool isWritten = !error && writeFile(documents.baseFile(), documents.base);
+    for (const auto &[site, text] : documents.sites) {
+        isWritten = isWritten && writeFile(documents.siteFile(site), text);
+    }
+    return isWritten && writeAppliedConfig(directory, config);
+}
+
+void writeDifferences(std::ostream &out, const ConfigDocuments &before, const ConfigDocuments &after, bool hasLines)
+{
+    const auto old = loadOrEmpty(before);
+    const auto current = loadOrEmpty(after);
+    if (old.faults.empty() && current.faults.empty()) {
+        const auto values = compareValues(old, current);
+        out << "Values that change: " << values.size() << "\n";
+        for (const auto &difference : values) {
+            out << "  " << difference.site << ": " << difference.key << ": " << valueText(difference.before) << " -> " << valueText(difference.after) << "\n";
+        }
+    } else {
+        out << "Values cannot be compared, because one of the configurations has faults; the lines are below.\n";
+        hasLines = true;
+    }
+    if (!hasLines) {
+        return;
+    }
+    const auto lines = compareLines(before, after);
+    out << "Lines that change: " << lines.size() << "\n";
+    for (const auto &line : lines) {
+        out << "  " << line.file << ":" << line.line << (line.isAdded ? ": + " : ": - ") << line.text << "\n";
+    }
+}
+
+json::object differencesJson(const ConfigDocuments &before, const ConfigDocuments &after)
+{
+    json::array values;
+    for (const auto &difference : compareValues(loadOrEmpty(before), loadOrEmpty(after))) {
+        values.push_back(
+            json::object{{"site", difference.site}, {"key", difference.key}, {"before", valueJson(difference.before)}, {"after", valueJson(difference.after)}});
+    }
+    json::array lines;
+    for (const auto &line : compareLines(before, after)) {
+        lines.push_back(json::object{{"file", line.file}, {"line", line.line}, {"added", line.isAdded}, {"text", line.text}});
+    }
+    return {{"values", std::move(values)}, {"lines", std::move(lines)}};
+}
+
+}
