--- a/src/load/load_command.cpp
+++ b/src/cli/load_command.cpp
@@ -1,12 +1,12 @@
-#include "load/load_command.h"
+#include "cli/load_command.h"
 
 #include "load/load_generator.h"
 
 #include <CLI/CLI.hpp>
 
 #include <fstream>
-#include <iostream>
 #include <memory>
+#include <ostream>
 
 namespace carawaypoint
 {
@@ -33,11 +33,11 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time));
 }
 
-int runBookingLoad(const LoadOptions &options)
+ExitCode runBookingLoad(const LoadOptions &options, const CommandContext &context)
 {
     const BookingReport report = runBookings(options.booking, options.target);
     for (const auto &[outcome, count] : report.outcomes) {
-        std::cout << "outcome " << outcome << ": " << count << '\n';
+        context.out << "outcome " << outcome << ": " << count << '\n';
     }
     if (!options.keyFile.empty()) {
         std::ofstream file(options.keyFile);
@@ -50,26 +50,26 @@
         write(report.keysToldNotRun, "not-run");
         write(report.keysToldUnknown, "unknown");
     }
-    return report.keysToldCompleted.size() == options.booking.calls ? 0 : 1;
+    return report.keysToldCompleted.size() == options.booking.calls ? ExitCode::Done : ExitCode::FaultFound;
 }
 
-int runChatLoad(const LoadOptions &options)
+ExitCode runChatLoad(const LoadOptions &options, const CommandContext &context)
 {
     const LoadReport report = runLoad(options.workload, options.target);
-    std::cout << report.table();
+    context.out << report.table();
     if (!options.jsonFile.empty()) {
         std::ofstream(options.jsonFile) << report.json() << '\n';
     }
-    return report.whole() == report.count() && report.wrong() == 0 ? 0 : 1;
+    return report.whole() == report.count() && report.wrong() == 0 ? ExitCode::Done : ExitCode::FaultFound;
 }
 
-int runLoadCommand(LoadOptions &options)
+ExitCode runLoadCommand(LoadOptions &options, const CommandContext &context)
 {
     for (const auto &text : options.entries) {
         const auto entry = Endpoint::parse(text);
         if (!entry.isValid()) {
-            std::cerr << "carawaypoint load: --entry " << text << ": expected address:port\n";
-            return 2;
+            context.err << "carawaypoint load: --entry " << text << ": expected address:port\n";
+            return ExitCode::Usage;
         }
         options.target.entries.push_back(entry);
     }
@@ -78,12 +78,12 @@
     options.workload.crestLength = toDuration(options.crestSeconds);
     options.target.timeout = toDuration(options.timeoutSeconds);
     options.booking.seed = options.workload.seed;
-    return options.isBooking ? runBookingLoad(options) : runChatLoad(options);
+    return options.isBooking ? runBookingLoad(options, context) : runChatLoad(options, context);
 }
 
 }
 
-void addLoadCommand(CLI::App &app, int &exitCode)
+void declareLoad(CLI::App &app, CommandAction &action)
 {
     auto options = std::make_shared<LoadOptions>();
     auto *load = app.add_subcommand("load", "Send a seeded workload and check every byte of the answers of the engine stand-ins");
@@ -109,7 +109,11 @@
     load->add_option("--sends", options->booking.sends, "most times that a call is sent with the same key");
     load->add_option("--path", options->booking.path, "path of the non-idempotent calls");
     load->add_option("--keys", options->keyFile, "write each key and what its caller was told to this file");
-    load->callback([options, &exitCode] { exitCode = runLoadCommand(*options); });
+    load->callback([&action, options] {
+        action = [options](const CommandContext &context) {
+            return runLoadCommand(*options, context);
+        };
+    });
 }
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -61,7 +61,7 @@
         FrontEndSettings frontEndSettings;
         frontEndSettings.threads = settings_.trafficThreads;
         frontEnd_ = HttpFrontEndBuilder().dependencies(dependencies).settings(frontEndSettings).listenOn(settings_.http).build();
-        if (const auto error = frontEnd_->start()) {
+        if (const auto error = frontEnd_->start(); error) {
             logLine(LogLevel::Error, "cannot listen", {{"address", settings_.http.toString()}, {"error", error.message()}});
             return 1;
         }
