Share free slots between daemons and keep admission from locking up

The mean time to the first token had grown beyond the deadline, so that every request was refused and the mean was never corrected. Each daemon also filled all slots that a late report showed as free.

Change: the assumed first-token time is at most a quarter of the time left; customers within their share are admitted by the slots of the whole daemon. Waiting work above its share and long work claims only the daemon's part of free slots. Long work may exceed its configured share by what short work leaves, measured over 20 s. Predictions fall back to wider groups, since a group per customer and daemon takes minutes to fill. The predicted quantile is 0.75 instead of 0.9, because groups with 7% long answers were classified as long at random.

--- a/src/routing/admission_control.cpp
+++ b/src/routing/admission_control.cpp
@@ -1,5 +1,7 @@
 #include "routing/admission_control.h"
 
+#include <algorithm>
+
 namespace carawaypoint
 {
 
@@ -8,6 +10,8 @@
 constexpr const char *DefaultQueue = "short_first";
 constexpr const char *DefaultAdmission = "deadline_shares";
 constexpr Duration DefaultRetryAfter = seconds(1);
+// Part of the time until its deadline that a request is assumed to need from the grant to the first token, at most.
+constexpr double FirstTokenPart = 0.25;
 }
 
 AdmissionControl::AdmissionControl()
@@ -45,13 +49,19 @@
     const CustomerId &customer = record.request.customer;
     AdmissionInput input;
     input.untilDeadline = record.request.deadline - now;
-    input.firstTokenTime = Duration(static_cast<Duration::rep>(state.firstTokenTime.value()));
+    input.firstTokenTime = firstTokenTime(record.request.model, input.untilDeadline);
     input.slotTime = state.slotTime[record.isLong ? 1 : 0].value();
     input.shortSlotTime = state.slotTime[0].value();
-    input.waiting = static_cast<double>(state.queue->waiting(customer, record.isLong));
-    input.waitingShort = record.isLong ? static_cast<double>(state.queue->waiting(customer, false)) : 0;
-    input.slots = accounts_.expectedSlots(customer);
     input.usedShare = accounts_.usedShare(customer);
+    if (input.usedShare < 1) {
+        // Customers within their share go first, so all slots of this daemon that become free serve them.
+        input.waiting = accounts_.waitingWithinShare();
+        input.slots = std::max(accounts_.expectedSlots(customer), accounts_.totalInFlight());
+    } else {
+        input.waiting = static_cast<double>(state.queue->waiting(customer, record.isLong));
+        input.waitingShort = record.isLong ? static_cast<double>(state.queue->waiting(customer, false)) : 0;
+        input.slots = accounts_.expectedSlots(customer);
+    }
     input.queued = state.queue->size();
     const AdmissionVerdict verdict = admission_->check(input);
     return {verdict.code, verdict.retryAfter};
@@ -63,11 +73,18 @@
     if (left < Duration::zero()) {
         return {ResultCode::DeadlinePassed, DefaultRetryAfter};
     }
-    const bool isHopeless =
-        admission_->shedsHopeless() && !record.isRetry && static_cast<double>(left.count()) < stateOf(record.request.model).firstTokenTime.value();
+    const Duration firstToken = firstTokenTime(record.request.model, record.request.deadline - record.submittedAt);
+    const bool isHopeless = admission_->shedsHopeless() && !record.isRetry && left < firstToken;
     return isHopeless ? Refusal{ResultCode::DeadlineWouldPass, DefaultRetryAfter} : Refusal{};
 }
 
+Duration AdmissionControl::firstTokenTime(const ModelId &model, Duration limit)
+{
+    // Bounded, because a high estimate that refuses everything would never be corrected by new samples.
+    const double bound = FirstTokenPart * static_cast<double>(limit.count());
+    return Duration(static_cast<Duration::rep>(std::min(bound, stateOf(model).firstTokenTime.value())));
+}
+
 void AdmissionControl::push(std::uint64_t ticket, const RequestRecord &record)
 {
     stateOf(record.request.model).queue->push({ticket, record.request.customer, record.isLong, record.submittedAt, record.request.deadline});
--- a/src/routing/admission_control.h
+++ b/src/routing/admission_control.h
@@ -68,6 +68,7 @@
         MovingAverage firstTokenTime; // microseconds from the grant
     };
 
+    Duration firstTokenTime(const ModelId &model, Duration limit);
     ModelState &stateOf(const ModelId &model);
     void setQueueOrder(const std::string &name);
 
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -16,9 +16,9 @@
     Duration firstTokenTime{}; // from the grant to the first token, mean
     double slotTime = 0; // seconds that a request of this class holds a slot, mean
     double shortSlotTime = 0;
-    double waiting = 0; // requests of the customer in the same class
-    double waitingShort = 0; // those that go first when the request is long
-    double slots = 1; // that the customer can expect
+    double waiting = 0; // requests that go first and hold their slots as long as this one
+    double waitingShort = 0; // short requests that go first when this one is long
+    double slots = 1; // that serve those and this one
     double usedShare = 0; // of the guaranteed share
     std::size_t queued = 0; // requests of all customers
 };
--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -38,11 +38,21 @@
 
 bool CorrectedTwoChoicesChooser::hasRoom(const ReplicaEntry &entry, const ChoiceRequest &request) const
 {
-    const double usable = entry.weight() < 1 ? std::max(1.0, entry.slots() * entry.weight()) : entry.slots();
-    if (load(entry) + 1 + std::floor(request.keepFree * entry.slots()) > usable) {
+    const double all = entry.weight() < 1 ? std::max(1.0, entry.slots() * entry.weight()) : entry.slots();
+    const double usable = all - std::floor(request.keepFree * entry.slots() + entry.fixedFraction());
+    if (load(entry) + 1 > usable) {
         return false;
     }
-    return !request.isLong || entry.estimatedLong() + 1 <= std::max(1.0, request.longShare * entry.slots());
+    if (request.isElastic && entry.inFlight() + 1 > entry.claimLimit(usable, request.claimShare) + entry.reportFraction()) {
+        return false;
+    }
+    return !request.isLong || hasRoomForLong(entry, request);
+}
+
+bool CorrectedTwoChoicesChooser::hasRoomForLong(const ReplicaEntry &entry, const ChoiceRequest &request) const
+{
+    const double usable = std::max(1.0, std::floor(request.longShare * entry.slots() + entry.fixedFraction()));
+    return entry.estimatedLong() + 1 <= usable && entry.inFlightLong() + 1 <= entry.longClaimLimit(usable, request.claimShare) + entry.reportFraction();
 }
 
 double CorrectedTwoChoicesChooser::relativeLoad(const ReplicaEntry &entry) const
--- a/src/routing/corrected_two_choices_chooser.h
+++ b/src/routing/corrected_two_choices_chooser.h
@@ -15,6 +15,7 @@
 
 private:
     bool hasRoom(const ReplicaEntry &entry, const ChoiceRequest &request) const;
+    bool hasRoomForLong(const ReplicaEntry &entry, const ChoiceRequest &request) const;
     double relativeLoad(const ReplicaEntry &entry) const;
     ReplicaEntry *byPrefix(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, Choice &choice) const;
     ReplicaEntry *byTwoChoices(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random, Choice &choice) const;
--- a/src/routing/customer_accounts.cpp
+++ b/src/routing/customer_accounts.cpp
@@ -50,6 +50,7 @@
     }
     setGuaranteed(snapshot, capacity);
     setExpected(snapshot, capacity);
+    setClaimShare(snapshot);
 }
 
 double CustomerAccounts::usedShare(const CustomerId &customer) const
@@ -76,6 +77,24 @@
     return account ? account->demand() : 0;
 }
 
+double CustomerAccounts::waitingWithinShare() const
+{
+    double waiting = 0;
+    for (const auto &[id, account] : accounts_) {
+        waiting += usedShare(id) < 1 ? account.waiting : 0;
+    }
+    return waiting;
+}
+
+double CustomerAccounts::totalInFlight() const
+{
+    double inFlight = 0;
+    for (const auto &[id, account] : accounts_) {
+        inFlight += account.inFlight;
+    }
+    return inFlight;
+}
+
 const CustomerAccounts::Account *CustomerAccounts::find(const CustomerId &customer) const
 {
     const auto found = accounts_.find(customer);
@@ -124,4 +143,20 @@
     }
 }
 
+void CustomerAccounts::setClaimShare(const RoutingSnapshot &snapshot)
+{
+    double own = 0;
+    double global = 0;
+    for (const auto &[id, account] : accounts_) {
+        own += account.demand();
+    }
+    for (const CustomerView &view : snapshot.customers) {
+        global += view.globalDemand;
+    }
+    const double staticShare = 1.0 / std::max(1U, snapshot.daemonsInZone);
+    const bool isExchanged = snapshot.isPeerExchangeFresh && global > 0;
+    // Demand fluctuates faster than it is exchanged, so a daemon never falls far below the static share.
+    claimShare_ = isExchanged ? std::clamp(own / std::max(global, own), staticShare / 2, 1.0) : staticShare;
+}
+
 }
--- a/src/routing/customer_accounts.h
+++ b/src/routing/customer_accounts.h
@@ -28,6 +28,14 @@
     double expectedSlots(const CustomerId &customer) const;
     /// Slots guaranteed to the customer at this daemon, whatever the others want.
     double guaranteedSlots(const CustomerId &customer) const;
+    /// Waiting requests of customers that are within their share.
+    double waitingWithinShare() const;
+    double totalInFlight() const;
+    /// This daemon's part of the demand of all daemons, which is its part of free slots too.
+    double claimShare() const
+    {
+        return claimShare_;
+    }
     /// Slots in use and wanted.
     double demand(const CustomerId &customer) const;
 
@@ -52,7 +60,10 @@
     void setGuaranteed(const RoutingSnapshot &snapshot, double capacity);
     void setExpected(const RoutingSnapshot &snapshot, double capacity);
 
+    void setClaimShare(const RoutingSnapshot &snapshot);
+
     std::unordered_map<CustomerId, Account> accounts_;
+    double claimShare_ = 1;
 };
 
 }
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -24,6 +24,7 @@
 
 LocalDispatcher::LocalDispatcher(const Clock &clock, std::uint64_t seed)
     : clock_(clock)
+    , book_(seed)
     , selector_(seed)
 {
 }
@@ -411,8 +412,7 @@
             refuseWaiting(ticket, refusal, calls);
             continue;
         }
-        const double keepFree = admission_.accounts().usedShare(record.request.customer) < 1 ? 0 : OverShareHeadroom;
-        const Choice choice = selector_.select(record, book_, quarantine_, keepFree, clock_.now());
+        const Choice choice = selector_.select(record, book_, quarantine_, limitsFor(record), clock_.now());
         if (choice.entry) {
             grant(ticket, choice, calls);
         } else if (!record.excluded.empty() || quarantine_.isSuspect(record.request.fingerprint)) {
@@ -427,6 +427,14 @@
     }
 }
 
+ReplicaSelector::Limits LocalDispatcher::limitsFor(const RequestRecord &record)
+{
+    const CustomerAccounts &accounts = admission_.accounts();
+    const bool isWithinShare = accounts.usedShare(record.request.customer) < 1;
+    const bool hasQueue = admission_.queue(record.request.model).size() > 1;
+    return {.keepFree = isWithinShare ? 0 : OverShareHeadroom, .claimShare = accounts.claimShare(), .isElastic = hasQueue && (!isWithinShare || record.isLong)};
+}
+
 Refusal LocalDispatcher::waitingRefusal(const RequestRecord &record)
 {
     if (quarantine_.isQuarantined(record.request.fingerprint)) {
--- a/src/routing/local_dispatcher.h
+++ b/src/routing/local_dispatcher.h
@@ -59,6 +59,7 @@
     void updateShares();
     void pumpAll(Calls &calls);
     void pump(const ModelId &model, Calls &calls);
+    ReplicaSelector::Limits limitsFor(const RequestRecord &record);
     Refusal waitingRefusal(const RequestRecord &record);
     std::uint32_t priorityOf(const RequestRecord &record) const;
     void applyPolicy(const RoutingPolicy &policy);
--- a/src/routing/replica_book.cpp
+++ b/src/routing/replica_book.cpp
@@ -3,6 +3,7 @@
 #include "routing/eligibility.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace carawaypoint
 {
@@ -10,6 +11,10 @@
 namespace
 {
 
+// Slots kept for short work: its mean use plus this many standard deviations of a Poisson number.
+constexpr double ShortHeadroomDeviations = 2;
+constexpr double MinShortShare = 1.0 / 8; // kept even after a time without short work, since long work does not end soon
+
 double meanLoad(const std::vector<ReplicaEntry *> &entries)
 {
     double sum = 0;
@@ -38,7 +43,7 @@
         const auto known = entries_.find(view.id);
         const bool isSame = known != entries_.end() && known->second->incarnation() == view.incarnation;
         EntryPtr entry = isSame ? known->second : std::make_shared<ReplicaEntry>(view);
-        entry->update(view, snapshot->isPeerExchangeFresh);
+        entry->update(view, snapshot->isPeerExchangeFresh, salt_);
         entries.insert_or_assign(view.id, std::move(entry));
     }
     for (const auto &[id, entry] : entries_) {
@@ -71,7 +76,30 @@
     for (auto &[model, pool] : pools_) {
         pool.ownZoneLoad = meanLoad(pool.ownZone);
         pool.otherZonesLoad = meanLoad(pool.otherZones);
+        updateLongShare(pool);
+    }
+}
+
+void ReplicaBook::updateLongShare(ReplicaPool &pool) const
+{
+    double slots = 0;
+    double shortWork = 0;
+    for (const auto *zone : {&pool.ownZone, &pool.otherZones}) {
+        for (const ReplicaEntry *entry : *zone) {
+            slots += entry->slots();
+            shortWork += std::max(0.0, entry->estimatedLoad() - entry->estimatedLong());
+        }
+    }
+    if (slots == 0) {
+        return;
+    }
+    const double configured = snapshot_->policy.longWorkSlotShare;
+    if (!pool.shortInFlight.hasValue()) {
+        pool.shortInFlight.add((1 - configured) * slots);
     }
+    pool.shortInFlight.add(shortWork);
+    const double kept = pool.shortInFlight.value() + ShortHeadroomDeviations * std::sqrt(pool.shortInFlight.value());
+    pool.longShare = std::max(configured, 1 - std::max(MinShortShare, kept / slots));
 }
 
 const ReplicaPool &ReplicaBook::pool(const ModelId &model) const
--- a/src/routing/replica_book.h
+++ b/src/routing/replica_book.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/moving_average.h"
 #include "routing/replica_entry.h"
 
 #include <memory>
@@ -15,6 +16,8 @@
     std::vector<ReplicaEntry *> otherZones;
     double ownZoneLoad = 0; // mean of (requests + 1) / slots
     double otherZonesLoad = 0;
+    MovingAverage shortInFlight{0.0005}; // short requests of the whole fleet; 20 s at a refresh every 10 ms
+    double longShare = 0.5; // of the slots that long work may hold; the configured share or what short work leaves
 
     std::size_t size() const
     {
@@ -28,6 +31,12 @@
 public:
     using EntryPtr = std::shared_ptr<ReplicaEntry>;
 
+    /// @param salt makes the rounding of limits differ between daemons.
+    explicit ReplicaBook(std::uint64_t salt)
+        : salt_(salt)
+    {
+    }
+
     /// Takes over @p snapshot, which the book keeps alive. Counts survive while replica and incarnation stay the same.
     void setSnapshot(RoutingSnapshotPtr snapshot, TimePoint now);
     const RoutingSnapshot *snapshot() const
@@ -55,6 +64,9 @@
     double capacity() const;
 
 private:
+    void updateLongShare(ReplicaPool &pool) const;
+
+    std::uint64_t salt_;
     RoutingSnapshotPtr snapshot_;
     std::unordered_map<ReplicaId, EntryPtr> entries_;
     std::unordered_map<ModelId, ReplicaPool> pools_;
--- a/src/routing/replica_chooser.h
+++ b/src/routing/replica_chooser.h
@@ -17,6 +17,8 @@
     const ModelRequest &request;
     bool isLong = false;
     double keepFree = 0; // part of the replica's slots that must stay free after the choice
+    double claimShare = 1; // this daemon's part of the slots that are free
+    bool isElastic = false; // may use only the daemon's part, since others wait for the same slots
     double longShare = 1; // of a replica's slots that long work may hold
     double meanRelativeLoad = 0; // of the candidates, with the request added
     std::span<const std::uint64_t> holders{}; // hashes of the replicas that probably cache the request's longest known prefix
--- a/src/routing/replica_entry.cpp
+++ b/src/routing/replica_entry.cpp
@@ -13,6 +13,11 @@
 constexpr Duration HistoryLength = seconds(5);
 // Attempts that break within this time of each other belong to one loss of the replica.
 constexpr Duration SameLoss = seconds(1);
+
+double fractionOf(std::uint64_t hash)
+{
+    return static_cast<double>(hash >> 11U) * 0x1p-53;
+}
 }
 
 ReplicaEntry::ReplicaEntry(const ReplicaView &view)
@@ -23,9 +28,9 @@
 {
 }
 
-std::uint32_t ReplicaEntry::growthSinceReport() const
+double ReplicaEntry::fixedFraction() const
 {
-    return inFlight_ > ownAtReport_ ? inFlight_ - ownAtReport_ : 0;
+    return fractionOf(idHash_);
 }
 
 std::uint32_t ReplicaEntry::noteLoss(TimePoint now)
@@ -57,12 +62,15 @@
     record(now);
 }
 
-void ReplicaEntry::update(const ReplicaView &view, bool isPeerExchangeFresh)
+void ReplicaEntry::update(const ReplicaView &view, bool isPeerExchangeFresh, std::uint64_t salt)
 {
     view_ = &view;
     slots_ = view.slots;
     const Change own = stateAt(view.load.reportedAt);
     ownAtReport_ = own.inFlight;
+    ownLongAtReport_ = own.inFlightLong;
+    const auto reportedAt = view.load.reportedAt.time_since_epoch().count();
+    reportFraction_ = fractionOf(XXH3_64bits_withSeed(&reportedAt, sizeof(reportedAt), idHash_ ^ salt));
     const double reported = view.load.running + view.load.queued;
     const double byReport = std::max(0.0, reported - own.inFlight);
     // Report and exchange are independent late samples of the same number; their mean has the smaller error.
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -57,8 +57,25 @@
     {
         return inFlightLong_ + peersLong_;
     }
-    /// Own requests added since the load report, never negative.
-    std::uint32_t growthSinceReport() const;
+    /// Own requests that keep the fleet's total at @p slots when every daemon claims its part of the slots that were free
+    /// at the last report, or gives up its part of the excess.
+    /// @param share of this daemon, 0 to 1.
+    double claimLimit(double slots, double share) const
+    {
+        return ownAtReport_ + share * (slots - ownAtReport_ - peers_);
+    }
+    /// Like claimLimit(), for long work only.
+    double longClaimLimit(double slots, double share) const
+    {
+        return ownLongAtReport_ + share * (slots - ownLongAtReport_ - peersLong_);
+    }
+    /// Number in [0, 1) that differs between reports and daemons, for rounding limits so that their sum is right on average.
+    double reportFraction() const
+    {
+        return reportFraction_;
+    }
+    /// Number in [0, 1) that is the same at all daemons, for rounding limits that all of them have to agree on.
+    double fixedFraction() const;
     /// Part of its normal traffic that the replica may take, 0 to 1; below 1 while it is ejected as an outlier.
     double weight() const
     {
@@ -105,7 +122,8 @@
     void reclassifyAsLong(TimePoint now);
 
     /// Takes over load report and peers' counts. @p view must outlive the entry's use or be replaced.
-    void update(const ReplicaView &view, bool isPeerExchangeFresh);
+    /// @param salt of this daemon.
+    void update(const ReplicaView &view, bool isPeerExchangeFresh, std::uint64_t salt);
     void detach();
 
 private:
@@ -126,6 +144,8 @@
     std::uint32_t inFlight_ = 0;
     std::uint32_t inFlightLong_ = 0;
     std::uint32_t ownAtReport_ = 0;
+    std::uint32_t ownLongAtReport_ = 0;
+    double reportFraction_ = 0;
     double peers_ = 0;
     double peersLong_ = 0;
     double weight_ = 1;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -28,7 +28,7 @@
     }
 }
 
-Choice ReplicaSelector::select(RequestRecord &record, const ReplicaBook &book, const Quarantine &quarantine, double keepFree, TimePoint now)
+Choice ReplicaSelector::select(RequestRecord &record, const ReplicaBook &book, const Quarantine &quarantine, const Limits &limits, TimePoint now)
 {
     const ReplicaPool &pool = book.pool(record.request.model);
     if (quarantine.isSuspect(record.request.fingerprint)) {
@@ -41,8 +41,10 @@
     }
     ChoiceRequest request{.request = record.request,
                           .isLong = record.isLong,
-                          .keepFree = keepFree,
-                          .longShare = book.snapshot()->policy.longWorkSlotShare,
+                          .keepFree = limits.keepFree,
+                          .claimShare = limits.claimShare,
+                          .isElastic = limits.isElastic,
+                          .longShare = pool.longShare,
                           .meanRelativeLoad = pool.ownZoneLoad,
                           .holders = prefixes_.holdersOfLongest(record.request.prefixHashes)};
     Choice choice = selectFrom(pool.ownZone, record, book, request, now);
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -22,8 +22,13 @@
 
     /// Selects the strategy by name; an unknown name changes nothing.
     void setStrategy(const std::string &name);
-    /// @param keepFree part of a replica's slots that must stay free.
-    Choice select(RequestRecord &record, const ReplicaBook &book, const Quarantine &quarantine, double keepFree, TimePoint now);
+    /// What the state of the daemon's queues and shares means for a choice.
+    struct Limits {
+        double keepFree = 0; // part of a replica's slots that must stay free
+        double claimShare = 1; // this daemon's part of free slots
+        bool isElastic = false;
+    };
+    Choice select(RequestRecord &record, const ReplicaBook &book, const Quarantine &quarantine, const Limits &limits, TimePoint now);
     double load(const ReplicaEntry &entry) const
     {
         return chooser_->load(entry);
--- a/src/routing/work_predictor.cpp
+++ b/src/routing/work_predictor.cpp
@@ -13,9 +13,10 @@
 
 namespace
 {
-// High enough that a request classified as short seldom turns out to be long.
-constexpr double PredictedQuantile = 0.9;
-constexpr double MinSamples = 20; // below this the declared limit is used
+// A short request taken for a long one waits behind long work; a long one taken for short is reclassified while it runs.
+// So a group counts as long only when at least a quarter of its answers are.
+constexpr double PredictedQuantile = 0.75;
+constexpr double MinSamples = 10; // below this a wider group is used, and at last the declared limit
 constexpr double DecayAt = 1000; // samples after which all counts are halved, so that old lengths are forgotten
 constexpr double LongFactor = 8; // times the model's median output
 constexpr double MinLongTokens = 256; // shorter answers end before they block anybody for a noticeable time
@@ -72,9 +73,8 @@
 {
     WorkPrediction prediction;
     prediction.outputTokens = request.maxTokens > 0 ? request.maxTokens : MaxTokens;
-    const auto group = groups_.find(groupKey(request));
-    if (group != groups_.end() && group->second.lengths->total() >= MinSamples) {
-        prediction.outputTokens = std::min(prediction.outputTokens, group->second.lengths->quantile(PredictedQuantile));
+    if (const Lengths *lengths = narrowest(request)) {
+        prediction.outputTokens = std::min(prediction.outputTokens, lengths->quantile(PredictedQuantile));
     }
     prediction.isLong = prediction.outputTokens >= longThreshold(request.model);
     return prediction;
@@ -82,7 +82,9 @@
 
 void WorkPredictor::observe(const ModelRequest &request, std::uint32_t tokens)
 {
-    lengthsOf(groupKey(request)).add(tokens);
+    for (const std::uint64_t key : groupKeys(request)) {
+        lengthsOf(key).add(tokens);
+    }
     auto &model = models_[request.model];
     if (!model) {
         model = std::make_unique<Lengths>();
@@ -99,12 +101,25 @@
     return std::max(MinLongTokens, LongFactor * found->second->quantile(0.5));
 }
 
-std::uint64_t WorkPredictor::groupKey(const ModelRequest &request)
+std::array<std::uint64_t, 3> WorkPredictor::groupKeys(const ModelRequest &request)
+{
+    const std::uint64_t model = XXH3_64bits(request.model.str().data(), request.model.str().size());
+    const std::uint64_t adapter = XXH3_64bits_withSeed(request.adapter.data(), request.adapter.size(), model);
+    const auto magnitude = static_cast<std::uint64_t>(std::bit_width(request.maxTokens));
+    const std::uint64_t limit = XXH3_64bits_withSeed(&magnitude, sizeof(magnitude), adapter);
+    const std::uint64_t customer = XXH3_64bits_withSeed(request.customer.str().data(), request.customer.str().size(), limit);
+    return {customer, limit, adapter};
+}
+
+const WorkPredictor::Lengths *WorkPredictor::narrowest(const ModelRequest &request) const
 {
-    std::uint64_t key = XXH3_64bits(request.customer.str().data(), request.customer.str().size());
-    key = XXH3_64bits_withSeed(request.model.str().data(), request.model.str().size(), key);
-    key = XXH3_64bits_withSeed(request.adapter.data(), request.adapter.size(), key);
-    return key ^ static_cast<std::uint64_t>(std::bit_width(request.maxTokens));
+    for (const std::uint64_t key : groupKeys(request)) {
+        const auto group = groups_.find(key);
+        if (group != groups_.end() && group->second.lengths->total() >= MinSamples) {
+            return group->second.lengths.get();
+        }
+    }
+    return nullptr;
 }
 
 WorkPredictor::Lengths &WorkPredictor::lengthsOf(std::uint64_t key)
--- a/src/routing/work_predictor.h
+++ b/src/routing/work_predictor.h
@@ -2,6 +2,7 @@
 
 #include "routing/dispatcher.h"
 
+#include <array>
 #include <memory>
 #include <unordered_map>
 
@@ -15,7 +16,8 @@
 };
 
 /// Predicts output lengths from the declared limit and from the lengths of earlier answers to requests of the same
-/// customer, model, adapter and order of magnitude of the declared limit. Requests are long relative to their model.
+/// customer, model, adapter and order of magnitude of the declared limit. While there are too few of them, answers to all
+/// customers are used, then those of the adapter. Requests are long relative to their model.
 class WorkPredictor
 {
 public:
@@ -40,7 +42,9 @@
         std::uint64_t lastUse = 0;
     };
 
-    static std::uint64_t groupKey(const ModelRequest &request);
+    /// From the narrowest group to the widest.
+    static std::array<std::uint64_t, 3> groupKeys(const ModelRequest &request);
+    const Lengths *narrowest(const ModelRequest &request) const;
     Lengths &lengthsOf(std::uint64_t key);
     void dropOldGroups();
 
