Add plain services and graceful end of claims to the front end

Cause: calls to booking and registry services go through the same entries as model requests. Change: pass-through with retry of repeatable calls, non-repeatable calls through claims on a fresh connection each, leaving servers recognised by Connection: close and X-Draining, drain waits for outcomes to be recorded. Sessions refer to their traffic loop instead of owning it, since a loop owned by its own coroutines was never destroyed by stop(). Not proved yet: the fault cases of the front end.

--- a/src/idempotency/claim_machine.cpp
+++ b/src/idempotency/claim_machine.cpp
@@ -29,11 +29,15 @@
 
     // Nothing leads from a state after the dispatch back to one that could be relinquished, but for the server's own
     // statement that it did not run the call.
-    struct transition_table
-        : boost::mpl::vector<Row<Absent, ClaimEvent::Created, Claimed>, Row<Absent, ClaimEvent::Close, NotRun>, Row<Absent, ClaimEvent::Relinquish, Relinquished>,
-                             Row<Claimed, ClaimEvent::Dispatch, DispatchedUnknown>, Row<Claimed, ClaimEvent::Close, NotRun>,
-                             Row<Claimed, ClaimEvent::Relinquish, Relinquished>, Row<DispatchedUnknown, ClaimEvent::Refused, Claimed>,
-                             Row<DispatchedUnknown, ClaimEvent::Answered, Completed>, Row<DispatchedUnknown, ClaimEvent::AnswerLost, Unknown>> {
+    struct transition_table : boost::mpl::vector<Row<Absent, ClaimEvent::Created, Claimed>,
+                                                 Row<Absent, ClaimEvent::Close, NotRun>,
+                                                 Row<Absent, ClaimEvent::Relinquish, Relinquished>,
+                                                 Row<Claimed, ClaimEvent::Dispatch, DispatchedUnknown>,
+                                                 Row<Claimed, ClaimEvent::Close, NotRun>,
+                                                 Row<Claimed, ClaimEvent::Relinquish, Relinquished>,
+                                                 Row<DispatchedUnknown, ClaimEvent::Refused, Claimed>,
+                                                 Row<DispatchedUnknown, ClaimEvent::Answered, Completed>,
+                                                 Row<DispatchedUnknown, ClaimEvent::AnswerLost, Unknown>> {
     };
 
     template<typename Machine, typename Event>
@@ -81,7 +85,9 @@
 
 bool ClaimMachine::apply(ClaimEvent event)
 {
-    const auto process = [this](auto typed) { return machine_->process_event(typed) == msm::back::HANDLED_TRUE; };
+    const auto process = [this](auto typed) {
+        return machine_->process_event(typed) == msm::back::HANDLED_TRUE;
+    };
     switch (event) {
     case ClaimEvent::Created:
         return process(On<ClaimEvent::Created>());
--- a/src/serving/caller_channel.cpp
+++ b/src/serving/caller_channel.cpp
@@ -23,8 +23,8 @@
 
 }
 
-CallerChannel::CallerChannel(std::shared_ptr<TrafficLoop> loop, ConnectionPtr connection)
-    : loop_(std::move(loop))
+CallerChannel::CallerChannel(TrafficLoop &loop, ConnectionPtr connection)
+    : loop_(loop)
     , connection_(std::move(connection))
 {
 }
@@ -45,7 +45,7 @@
     response.keep_alive(keepAlive && !reply.closesConnection);
     response.body() = reply.body;
     response.prepare_payload();
-    connection_->limit(loop_->context.settings.callerWriteTimeout);
+    connection_->limit(loop_.context.settings.callerWriteTimeout);
     const auto [error, size] = co_await http::async_write(connection_->socket(), response, UseResult);
     connection_->unlimit();
     isGone_ = isGone_ || error;
@@ -82,7 +82,7 @@
     if (isGone_) {
         co_return false;
     }
-    connection_->limit(loop_->context.settings.callerWriteTimeout);
+    connection_->limit(loop_.context.settings.callerWriteTimeout);
     const auto [error, size] = co_await asio::async_write(connection_->socket(), asio::buffer(data), UseResult);
     connection_->unlimit();
     isGone_ = isGone_ || error;
@@ -94,7 +94,7 @@
     onGone_ = std::move(onGone);
     ++watchNumber_;
     asio::co_spawn(
-        loop_->io, [self = shared_from_this(), number = watchNumber_]() -> asio::awaitable<void> { return self->waitForEnd(number); }, asio::detached);
+        loop_.io, [self = shared_from_this(), number = watchNumber_]() -> asio::awaitable<void> { return self->waitForEnd(number); }, asio::detached);
 }
 
 void CallerChannel::stopWatching()
--- a/src/serving/caller_channel.h
+++ b/src/serving/caller_channel.h
@@ -14,7 +14,7 @@
 class CallerChannel : public std::enable_shared_from_this<CallerChannel>
 {
 public:
-    CallerChannel(std::shared_ptr<TrafficLoop> loop, ConnectionPtr connection);
+    CallerChannel(TrafficLoop &loop, ConnectionPtr connection);
 
     /// False when the caller is gone or too slow.
     asio::awaitable<bool> send(const Reply &reply, const RequestId &id, bool keepAlive);
@@ -37,7 +37,7 @@
     asio::awaitable<void> waitForEnd(std::uint64_t watchNumber);
     asio::awaitable<bool> write(const std::string &data);
 
-    std::shared_ptr<TrafficLoop> loop_;
+    TrafficLoop &loop_;
     ConnectionPtr connection_;
     std::function<void()> onGone_;
     std::uint64_t watchNumber_ = 0;
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log.h"
 #include "serving/chat_call.h"
+#include "serving/service_call.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,7 @@
 
 constexpr std::size_t InputBytes = 4 * 1024;
 constexpr std::size_t MaxDiscardedBytes = 256 * 1024; // read after a refusal, so that the caller's kernel delivers the response
+constexpr std::string_view ServicePrefix = "/services/";
 constexpr auto DiscardTime = seconds(1);
 
 /// Counts a request from its arrival until its answer was written.
@@ -58,32 +60,33 @@
     }
 };
 
-CallerSession::CallerSession(std::shared_ptr<TrafficLoop> loop, ConnectionPtr connection)
-    : loop_(std::move(loop))
+CallerSession::CallerSession(TrafficLoop &loop, ServiceShared &services, ConnectionPtr connection)
+    : loop_(loop)
+    , services_(services)
     , connection_(std::move(connection))
     , channel_(std::make_shared<CallerChannel>(loop_, connection_))
 {
-    ++loop_->callerConnections;
-    loop_->context.count(ServingEvent::CallerConnected);
+    ++loop_.callerConnections;
+    loop_.context.count(ServingEvent::CallerConnected);
 }
 
 CallerSession::~CallerSession()
 {
-    --loop_->callerConnections;
+    --loop_.callerConnections;
 }
 
 void CallerSession::start()
 {
     asio::co_spawn(
-        loop_->io, [self = shared_from_this()]() -> asio::awaitable<void> { return self->run(); }, asio::detached);
+        loop_.io, [self = shared_from_this()]() -> asio::awaitable<void> { return self->run(); }, asio::detached);
 }
 
 asio::awaitable<void> CallerSession::run()
 {
     const auto self = shared_from_this();
     while (co_await waitForInput()) {
-        const ProgressGuard guard(loop_->context);
-        arrivedAt_ = loop_->context.dependencies.clock->now();
+        const ProgressGuard guard(loop_.context);
+        arrivedAt_ = loop_.context.dependencies.clock->now();
         const auto request = co_await readRequest();
         if (!request) {
             break;
@@ -103,7 +106,7 @@
     if (buffer.size() != 0) {
         co_return true;
     }
-    connection_->limit(loop_->context.settings.idleTimeout);
+    connection_->limit(loop_.context.settings.idleTimeout);
     const auto [error, size] = co_await connection_->socket().async_read_some(buffer.prepare(InputBytes), UseResult);
     connection_->unlimit();
     buffer.commit(size);
@@ -112,13 +115,13 @@
 
 RequestId CallerSession::nextRequestId()
 {
-    sequence_ = ++loop_->context.sequence;
-    return RequestId(std::to_string(loop_->context.dependencies.processIncarnation) + "-" + std::to_string(sequence_));
+    sequence_ = ++loop_.context.sequence;
+    return RequestId(std::to_string(loop_.context.dependencies.processIncarnation) + "-" + std::to_string(sequence_));
 }
 
 asio::awaitable<std::unique_ptr<CallerSession::Request>> CallerSession::readRequest()
 {
-    const auto &settings = loop_->context.settings;
+    const auto &settings = loop_.context.settings;
     http::request_parser<http::string_body> parser;
     parser.header_limit(settings.maxHeaderBytes);
     parser.body_limit(settings.maxBodyBytes);
@@ -155,8 +158,8 @@
     const auto id = nextRequestId();
     co_await channel_->send(makeErrorReply(code, RunState::NotRun, message), id, false);
     logLine(LogLevel::Info, "request refused", {{"request", id.str()}, {"code", resultCodeName(code)}, {"reason", message}});
-    if (auto *metrics = loop_->context.dependencies.metrics) {
-        metrics->requestFinished(code, RunState::NotRun, loop_->context.dependencies.clock->now() - arrivedAt_);
+    if (auto *metrics = loop_.context.dependencies.metrics) {
+        metrics->requestFinished(code, RunState::NotRun, loop_.context.dependencies.clock->now() - arrivedAt_);
     }
     co_await closeGently();
 }
@@ -178,17 +181,17 @@
 
 asio::awaitable<bool> CallerSession::reply(const Request &request, const Reply &reply)
 {
-    const bool keepAlive = request.message.keep_alive() && !reply.closesConnection;
+    const bool keepAlive = request.message.keep_alive() && !reply.closesConnection && !loop_.context.isDraining;
     const bool isSent = co_await channel_->send(reply, request.id, keepAlive);
-    if (auto *metrics = loop_->context.dependencies.metrics) {
-        metrics->requestFinished(reply.code, reply.state, loop_->context.dependencies.clock->now() - arrivedAt_);
+    if (auto *metrics = loop_.context.dependencies.metrics) {
+        metrics->requestFinished(reply.code, reply.state, loop_.context.dependencies.clock->now() - arrivedAt_);
     }
     co_return isSent &&keepAlive;
 }
 
 asio::awaitable<bool> CallerSession::answer(const Request &request)
 {
-    auto &context = loop_->context;
+    auto &context = loop_.context;
     const auto target = request.target().substr(0, request.target().find('?'));
     if (target == "/healthz") {
         Reply healthy;
@@ -214,12 +217,39 @@
     if (target == "/v1/chat/completions") {
         co_return co_await answerChat(request);
     }
+    if (target.starts_with(ServicePrefix)) {
+        co_return co_await answerService(request);
+    }
     co_return co_await reply(request, makeErrorReply(ResultCode::UnknownPath, RunState::NotRun, "no such path"));
 }
 
+asio::awaitable<bool> CallerSession::answerService(const Request &request)
+{
+    const auto rest = request.target().substr(ServicePrefix.size());
+    const auto end = rest.find_first_of("/?");
+    ServiceRequest call;
+    call.id = request.id;
+    call.customer = CustomerId(std::string(request.header("X-Customer")));
+    call.service = ServiceId(std::string(rest.substr(0, end)));
+    call.key = std::string(request.header("Idempotency-Key"));
+    call.method = std::string(request.message.method_string());
+    const auto path = end == std::string_view::npos ? std::string_view() : rest.substr(end);
+    call.target = (path.starts_with('/') ? "" : "/") + std::string(path);
+    for (const auto &field : request.message) {
+        const std::string name(field.name_string());
+        if (!isHopHeader(name)) {
+            call.headers.emplace_back(name, std::string(field.value()));
+        }
+    }
+    call.body = request.message.body();
+    const auto served = std::make_shared<ServiceCall>(loop_, services_, channel_, std::move(call));
+    const auto answer = co_await served->run();
+    co_return co_await reply(request, answer);
+}
+
 asio::awaitable<bool> CallerSession::answerChat(const Request &request)
 {
-    auto &context = loop_->context;
+    auto &context = loop_.context;
     if (request.message.method() != http::verb::post) {
         auto refusal = makeErrorReply(ResultCode::MalformedRequest, RunState::NotRun, "the method is not POST");
         refusal.status = 405;
@@ -237,7 +267,7 @@
     }
     check.request.routing.id = request.id;
     const auto call = std::make_shared<ChatCall>(loop_, channel_, std::move(check.request), sequence_, arrivedAt_);
-    const bool isReusable = co_await call->run(request.message.keep_alive());
+    const bool isReusable = co_await call->run(request.message.keep_alive() && !context.isDraining);
     if (auto *metrics = context.dependencies.metrics) {
         metrics->requestFinished(call->code(), call->state(), context.dependencies.clock->now() - arrivedAt_);
     }
--- a/src/serving/caller_session.h
+++ b/src/serving/caller_session.h
@@ -8,11 +8,13 @@
 namespace carawaypoint
 {
 
+struct ServiceShared;
+
 /// One caller connection. Keeps itself alive until the connection ends.
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
-    CallerSession(std::shared_ptr<TrafficLoop> loop, ConnectionPtr connection);
+    CallerSession(TrafficLoop &loop, ServiceShared &services, ConnectionPtr connection);
     ~CallerSession();
 
     void start();
@@ -27,12 +29,14 @@
     asio::awaitable<std::unique_ptr<Request>> readRequest();
     asio::awaitable<bool> answer(const Request &request);
     asio::awaitable<bool> answerChat(const Request &request);
+    asio::awaitable<bool> answerService(const Request &request);
     asio::awaitable<bool> reply(const Request &request, const Reply &reply);
     asio::awaitable<void> refuseAndClose(ResultCode code, std::string message);
     asio::awaitable<void> closeGently();
     RequestId nextRequestId();
 
-    std::shared_ptr<TrafficLoop> loop_;
+    TrafficLoop &loop_;
+    ServiceShared &services_;
     ConnectionPtr connection_;
     std::shared_ptr<CallerChannel> channel_;
     std::uint64_t sequence_ = 0; // of the present request
--- a/src/serving/chat_call.cpp
+++ b/src/serving/chat_call.cpp
@@ -34,11 +34,11 @@
     case End::Rejected:
         return AttemptOutcome::Refused;
     case End::TimedOut:
+    case End::BadAnswer: // the server is faulty but did not crash, so the request is no crash suspect
         return AttemptOutcome::Stalled;
     case End::SinkClosed:
         return AttemptOutcome::Cancelled;
     case End::Lost:
-    case End::BadAnswer:
         break;
     }
     return AttemptOutcome::ReplicaLost;
@@ -46,8 +46,8 @@
 
 }
 
-ChatCall::ChatCall(std::shared_ptr<TrafficLoop> loop, std::shared_ptr<CallerChannel> caller, ChatRequest request, std::uint64_t sequence, TimePoint arrivedAt)
-    : loop_(std::move(loop))
+ChatCall::ChatCall(TrafficLoop &loop, std::shared_ptr<CallerChannel> caller, ChatRequest request, std::uint64_t sequence, TimePoint arrivedAt)
+    : loop_(loop)
     , caller_(std::move(caller))
     , request_(std::move(request))
     , sequence_(sequence)
@@ -55,6 +55,15 @@
 {
 }
 
+ChatCall::~ChatCall()
+{
+    // Only when the front end was stopped while the call was in progress.
+    auto &dispatcher = *loop_.context.dependencies.dispatcher;
+    if (hold_ == Hold::Slot || (hold_ == Hold::Queue && !dispatcher.cancel(ticket_))) {
+        dispatcher.finish(ticket_, AttemptOutcome::Cancelled, delivered_);
+    }
+}
+
 asio::awaitable<bool> ChatCall::run(bool keepAlive)
 {
     const auto self = shared_from_this();
@@ -64,8 +73,8 @@
             call->leave();
         }
     });
-    const auto &settings = loop_->context.settings;
-    auto &dispatcher = *loop_->context.dependencies.dispatcher;
+    const auto &settings = loop_.context.settings;
+    auto &dispatcher = *loop_.context.dependencies.dispatcher;
     for (unsigned tries = 1;; ++tries) {
         co_await obtainGrant();
         if (caller_->isGone()) {
@@ -78,6 +87,7 @@
         }
         const auto result = co_await runOnReplica();
         mayHaveRun_ = mayHaveRun_ || result.mayHaveRun;
+        hold_ = Hold::Nothing;
         dispatcher.finish(ticket_, outcomeOf(result.end), delivered_);
         noteAttemptEnd(result);
         if (result.end == End::Finished) {
@@ -93,51 +103,54 @@
     }
     code_ = ResultCode::CallerClosed;
     state_ = mayHaveRun_ ? RunState::Unknown : RunState::NotRun;
-    loop_->context.count(ServingEvent::CallerGone);
+    loop_.context.count(ServingEvent::CallerGone);
     co_return false;
 }
 
 asio::awaitable<void> ChatCall::obtainGrant()
 {
-    auto &dispatcher = *loop_->context.dependencies.dispatcher;
+    auto &dispatcher = *loop_.context.dependencies.dispatcher;
     const auto mailbox = std::make_shared<Mailbox<DispatchDecision>>(loop_);
     const auto onGrant = [mailbox](const DispatchDecision &decision) {
         mailbox->deliver(decision);
     };
+    hold_ = Hold::Queue;
     ticket_ = excluded_.empty() ? dispatcher.submit(request_.routing, onGrant) : dispatcher.resubmit(ticket_, excluded_, onGrant);
     interrupt_ = [mailbox] {
         mailbox->interrupt();
     };
     std::optional<DispatchDecision> decision;
     if (!caller_->isGone()) {
-        decision = co_await mailbox->wait(*loop_);
+        decision = co_await mailbox->wait(loop_);
     }
     interrupt_ = nullptr;
     if (!decision && !dispatcher.cancel(ticket_)) {
         // The grant is on its way and holds a slot until it is given up.
-        decision = co_await mailbox->wait(*loop_);
+        decision = co_await mailbox->wait(loop_);
     }
+    hold_ = decision && decision->code == ResultCode::Ok ? Hold::Slot : Hold::Nothing;
     if (!decision) {
         co_return;
     }
     decision_ = std::move(*decision);
-    if (caller_->isGone() && decision_.code == ResultCode::Ok) {
+    if (caller_->isGone() && hold_ == Hold::Slot) {
+        hold_ = Hold::Nothing;
         dispatcher.finish(ticket_, AttemptOutcome::Cancelled, delivered_);
     }
 }
 
 asio::awaitable<AttemptResult> ChatCall::runOnReplica()
 {
-    auto &context = loop_->context;
+    auto &context = loop_.context;
     AttemptResult notSent;
     notSent.end = End::RefusedBeforeRun;
     notSent.code = ResultCode::NoReplicaAvailable;
     notSent.mayHaveRun = false;
     bool mayHaveRun = false;
-    auto upstream = loop_->pool.takeIdle(decision_.leader);
+    auto upstream = loop_.pool.takeIdle(decision_.leader);
     while (true) {
         if (!upstream.connection) {
-            upstream = co_await loop_->pool.connect(decision_.leader);
+            upstream = co_await loop_.pool.connect(decision_.leader);
             context.count(ServingEvent::UpstreamConnected);
         } else {
             context.count(ServingEvent::UpstreamReused);
@@ -151,7 +164,7 @@
         if (caller_->isGone() || !context.dependencies.dispatcher->isEligible(decision_.replica, decision_.incarnation)) {
             notSent.detail = "the replica stopped being eligible before the request was sent";
             notSent.mayHaveRun = mayHaveRun;
-            loop_->pool.giveBack(decision_.leader, std::move(upstream));
+            loop_.pool.giveBack(decision_.leader, std::move(upstream));
             co_return notSent;
         }
         const bool isReused = upstream.isReused;
@@ -163,7 +176,7 @@
         }
         // Pooled connections can be dead while the engine is well: once more on a fresh one.
         mayHaveRun = true;
-        loop_->pool.purge(decision_.leader);
+        loop_.pool.purge(decision_.leader);
         context.count(ServingEvent::FreshConnectionRetry);
         upstream = {};
     }
@@ -173,12 +186,12 @@
 {
     AttemptPlan plan;
     plan.decision = decision_;
-    plan.id = {loop_->context.dependencies.processIncarnation, sequence_, ++attempts_};
+    plan.id = {loop_.context.dependencies.processIncarnation, sequence_, ++attempts_};
     plan.request = request_.routing.id;
     plan.body = request_.engineBody;
     plan.resumeFrom = delivered_;
     if (delivered_ > 0) {
-        loop_->context.count(ServingEvent::Resumed);
+        loop_.context.count(ServingEvent::Resumed);
     }
     const auto id = plan.id;
     const auto attempt = std::make_shared<EngineAttempt>(loop_, std::move(plan), std::move(upstream), *this);
@@ -195,7 +208,7 @@
 
 asio::awaitable<bool> ChatCall::takeTokens(std::vector<EngineEvent> tokens)
 {
-    auto &context = loop_->context;
+    auto &context = loop_.context;
     if (delivered_ == 0 && context.dependencies.metrics != nullptr) {
         context.dependencies.metrics->firstToken(context.dependencies.clock->now() - arrivedAt_);
     }
@@ -273,8 +286,8 @@
     }
     logDecision("routing", request_.routing.id.str(), decision_.replica.str(), result.detail,
                 {{"code", resultCodeName(result.code)}, {"attempt_ended", true}, {"delivered", delivered_}, {"may_have_run", result.mayHaveRun}});
-    if (result.end == End::RefusedBeforeRun) {
-        signal(result.refusal);
+    if (result.refusal) {
+        signal(*result.refusal);
     } else if (result.end == End::Lost) {
         signal(ServerSignal::Kind::ConnectionLost);
     }
@@ -282,7 +295,7 @@
 
 void ChatCall::signal(ServerSignal::Kind kind) const
 {
-    loop_->context.signal({kind, decision_.leader, decision_.replica, decision_.incarnation, {}});
+    loop_.context.signal({kind, decision_.leader, decision_.replica, decision_.incarnation, {}});
 }
 
 void ChatCall::leave()
--- a/src/serving/chat_call.h
+++ b/src/serving/chat_call.h
@@ -15,7 +15,8 @@
 class ChatCall : public std::enable_shared_from_this<ChatCall>, public TokenSink
 {
 public:
-    ChatCall(std::shared_ptr<TrafficLoop> loop, std::shared_ptr<CallerChannel> caller, ChatRequest request, std::uint64_t sequence, TimePoint arrivedAt);
+    ChatCall(TrafficLoop &loop, std::shared_ptr<CallerChannel> caller, ChatRequest request, std::uint64_t sequence, TimePoint arrivedAt);
+    ~ChatCall() override;
 
     /// Answers the caller; false when its connection must not be used again.
     asio::awaitable<bool> run(bool keepAlive);
@@ -40,12 +41,18 @@
     void signal(ServerSignal::Kind kind) const;
     void leave();
 
-    std::shared_ptr<TrafficLoop> loop_;
+    TrafficLoop &loop_;
     std::shared_ptr<CallerChannel> caller_;
     ChatRequest request_;
     std::uint64_t sequence_;
     TimePoint arrivedAt_;
     std::function<void()> interrupt_; // of the present wait
+    enum class Hold : std::uint8_t {
+        Nothing,
+        Queue,
+        Slot,
+    };
+    Hold hold_ = Hold::Nothing; // of the dispatcher
     Dispatcher::Ticket ticket_ = 0;
     DispatchDecision decision_;
     std::vector<ReplicaId> excluded_; // replicas that failed this request
--- /dev/null
+++ b/src/serving/claim_port.cpp
@@ -0,0 +1,93 @@
+#include "serving/claim_port.h"
+
+#include <random>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+WallTime systemTime()
+{
+    return std::chrono::duration_cast<WallTime>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+}
+
+ClaimPort::ClaimPort(const FrontEndDependencies &dependencies, const ClaimStoreSettings &settings)
+    : executor_(dependencies.postToClaims)
+{
+    if (dependencies.claimObjects == nullptr || dependencies.peerClaims == nullptr || !executor_) {
+        return;
+    }
+    ClaimStore::Dependencies parts;
+    parts.objects = dependencies.claimObjects;
+    parts.peers = dependencies.peerClaims;
+    parts.clock = dependencies.clock;
+    parts.wallTime = dependencies.wallTime ? dependencies.wallTime : systemTime;
+    parts.self = {dependencies.self, dependencies.processIncarnation};
+    parts.onRestoreDetected = dependencies.onPlatformRestored;
+    std::random_device entropy;
+    const auto seed = (static_cast<std::uint64_t>(entropy()) << 32U) | entropy();
+    store_ = std::make_shared<ClaimStore>(std::move(parts), settings, seed);
+}
+
+ClaimPort::~ClaimPort()
+{
+    if (store_) {
+        executor_([store = std::move(store_)] {});
+    }
+}
+
+void ClaimPort::post(std::function<void(ClaimStore &)> action)
+{
+    if (store_) {
+        executor_([store = store_, action = std::move(action)] { action(*store); });
+    }
+}
+
+asio::awaitable<ClaimBegin> ClaimPort::begin(TrafficLoop &loop, ClaimCall call)
+{
+    const auto mailbox = std::make_shared<Mailbox<ClaimBegin>>(loop);
+    post([mailbox, call = std::move(call)](ClaimStore &store) { store.begin(call, [mailbox](ClaimBegin result) { mailbox->deliver(std::move(result)); }); });
+    co_return (co_await mailbox->wait(loop)).value_or(ClaimBegin());
+}
+
+asio::awaitable<bool> ClaimPort::dispatch(TrafficLoop &loop, std::string token)
+{
+    const auto mailbox = std::make_shared<Mailbox<bool>>(loop);
+    post([mailbox, token = std::move(token)](ClaimStore &store) { mailbox->deliver(store.dispatch(token)); });
+    co_return (co_await mailbox->wait(loop)).value_or(false);
+}
+
+asio::awaitable<void> ClaimPort::close(TrafficLoop &loop, std::string token)
+{
+    const auto mailbox = std::make_shared<Mailbox<bool>>(loop);
+    post([mailbox, token = std::move(token)](ClaimStore &store) { store.close(token, [mailbox] { mailbox->deliver(true); }); });
+    co_await mailbox->wait(loop);
+}
+
+void ClaimPort::refuse(const std::string &token)
+{
+    post([token](ClaimStore &store) { store.refuse(token); });
+}
+
+void ClaimPort::complete(const std::string &token, RecordedAnswer answer)
+{
+    post([token, answer = std::move(answer)](ClaimStore &store) { store.complete(token, answer); });
+}
+
+void ClaimPort::loseAnswer(const std::string &token)
+{
+    post([token](ClaimStore &store) { store.loseAnswer(token); });
+}
+
+asio::awaitable<std::size_t> ClaimPort::countOpen(TrafficLoop &loop)
+{
+    const auto mailbox = std::make_shared<Mailbox<std::size_t>>(loop);
+    post([mailbox](ClaimStore &store) { mailbox->deliver(store.openClaims()); });
+    co_return (co_await mailbox->wait(loop)).value_or(0);
+}
+
+}
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -84,13 +84,13 @@
     std::array<char, ReadBytes> buffer_{};
 };
 
-EngineAttempt::EngineAttempt(std::shared_ptr<TrafficLoop> loop, AttemptPlan plan, UpstreamConnection upstream, TokenSink &sink)
-    : loop_(std::move(loop))
+EngineAttempt::EngineAttempt(TrafficLoop &loop, AttemptPlan plan, UpstreamConnection upstream, TokenSink &sink)
+    : loop_(loop)
     , plan_(std::move(plan))
     , upstream_(std::move(upstream))
     , sink_(&sink)
     , reader_(std::make_unique<Reader>(*upstream_.connection))
-    , events_(loop_->context.settings.maxEventBytes)
+    , events_(loop_.context.settings.maxEventBytes)
     , nextIndex_(plan_.resumeFrom)
 {
 }
@@ -130,7 +130,7 @@
     if (result.end == AttemptResult::End::Finished) {
         // The caller's answer does not wait for the end of the encoding.
         asio::co_spawn(
-            loop_->io, [self]() -> asio::awaitable<void> { return self->readRest(); }, asio::detached);
+            loop_.io, [self]() -> asio::awaitable<void> { return self->readRest(); }, asio::detached);
     } else if (result.end != AttemptResult::End::RefusedBeforeRun || upstream_.connection->isTimedOut()) {
         upstream_.connection->close();
     }
@@ -141,7 +141,7 @@
 {
     auto &connection = *upstream_.connection;
     const auto request = makeRequest(plan_);
-    connection.limit(loop_->context.settings.firstByteTimeout);
+    connection.limit(loop_.context.settings.firstByteTimeout);
     const auto [error, size] = co_await http::async_write(connection.socket(), request, UseResult);
     if (error) {
         co_return transportFailure("sending the request", error.message());
@@ -152,7 +152,7 @@
     }
     hasAnswerBegun_ = true;
     if (reader_->header("X-Attempt-Id") != plan_.id.toString()) {
-        loop_->context.count(ServingEvent::WrongAttemptDropped);
+        loop_.context.count(ServingEvent::WrongAttemptDropped);
         co_return failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, "the answer carries another attempt id");
     }
     const auto status = reader_->parser.get().result_int();
@@ -188,7 +188,7 @@
     result.mayHaveRun = false;
     result.refusal = says("draining") ? ServerSignal::Kind::Draining : ServerSignal::Kind::Refused;
     if (reader_->parser.is_done() && reader_->parser.get().keep_alive()) {
-        loop_->pool.giveBack(plan_.decision.leader, upstream_);
+        loop_.pool.giveBack(plan_.decision.leader, upstream_);
     }
     co_return result;
 }
@@ -196,13 +196,9 @@
 asio::awaitable<AttemptResult> EngineAttempt::readTokens()
 {
     auto &connection = *upstream_.connection;
-    const auto &settings = loop_->context.settings;
+    const auto &settings = loop_.context.settings;
     AttemptResult result;
-    while (true) {
-        // The first token counts from sending; the limit set there goes on.
-        if (nextIndex_ > plan_.resumeFrom) {
-            connection.limit(settings.interTokenTimeout);
-        }
+    while (true) { // the first token counts from sending; the limit set there goes on
         boost::system::error_code error;
         if (!reader_->parser.is_done()) {
             error = co_await reader_->readSome();
@@ -217,12 +213,13 @@
             if (!co_await sink_->takeTokens(std::move(tokens))) {
                 co_return failure(AttemptResult::End::SinkClosed, ResultCode::CallerClosed, "the caller does not take the answer");
             }
+            connection.limit(settings.interTokenTimeout);
         }
         if (hasEnded) {
             co_return result;
         }
         if (error) {
-            loop_->context.count(ServingEvent::TruncatedAnswer);
+            loop_.context.count(ServingEvent::TruncatedAnswer);
             co_return transportFailure("reading the answer", error.message());
         }
     }
@@ -251,7 +248,7 @@
             return true;
         }
         if (event.id != plan_.id.toString()) {
-            loop_->context.count(ServingEvent::WrongAttemptDropped);
+            loop_.context.count(ServingEvent::WrongAttemptDropped);
             continue;
         }
         if (event.kind == EngineEvent::Kind::Finish) {
@@ -261,11 +258,11 @@
             continue;
         }
         if (event.index < nextIndex_) {
-            loop_->context.count(ServingEvent::RepeatedTokenDropped);
+            loop_.context.count(ServingEvent::RepeatedTokenDropped);
             continue;
         }
         if (event.index > nextIndex_) {
-            loop_->context.count(ServingEvent::TokenGap);
+            loop_.context.count(ServingEvent::TokenGap);
             return fail("token " + std::to_string(nextIndex_) + " is missing, token " + std::to_string(event.index) + " came instead");
         }
         ++nextIndex_;
@@ -279,7 +276,7 @@
     // After a resume, engines count either the whole answer or their own part.
     const bool isCounted = !event.completionTokens || *event.completionTokens == nextIndex_ || *event.completionTokens + plan_.resumeFrom == nextIndex_;
     if (!isCounted) {
-        loop_->context.count(ServingEvent::TruncatedAnswer);
+        loop_.context.count(ServingEvent::TruncatedAnswer);
         result = failure(AttemptResult::End::BadAnswer, ResultCode::AnswerTruncated,
                          "the engine counts " + std::to_string(*event.completionTokens) + " tokens, " + std::to_string(nextIndex_) + " were received");
         return false;
@@ -300,7 +297,7 @@
         error = co_await reader_->readSome();
     }
     if (!error && reader_->parser.is_done() && reader_->parser.get().keep_alive()) {
-        loop_->pool.giveBack(plan_.decision.leader, std::move(upstream_));
+        loop_.pool.giveBack(plan_.decision.leader, std::move(upstream_));
     } else {
         connection.close();
     }
@@ -309,15 +306,15 @@
 namespace
 {
 
-asio::awaitable<void> sendCancel(std::shared_ptr<TrafficLoop> loop, Endpoint engine, std::string attempt)
+asio::awaitable<void> sendCancel(TrafficLoop &loop, Endpoint engine, std::string attempt)
 {
-    auto upstream = loop->pool.takeIdle(engine);
+    auto upstream = loop.pool.takeIdle(engine);
     if (!upstream.connection) {
-        upstream = co_await loop->pool.connect(engine);
+        upstream = co_await loop.pool.connect(engine);
     }
-    --loop->cancelsInProgress;
+    --loop.cancelsInProgress;
     if (!upstream.connection) {
-        loop->context.count(ServingEvent::CancelFailed);
+        loop.context.count(ServingEvent::CancelFailed);
         co_return;
     }
     http::request<http::string_body> request(http::verb::post, "/control/cancel", 11);
@@ -326,16 +323,16 @@
     request.body() = "{\"attempt\":\"" + attempt + "\"}";
     request.prepare_payload();
     auto &connection = *upstream.connection;
-    connection.limit(loop->context.settings.cancelTimeout);
+    connection.limit(loop.context.settings.cancelTimeout);
     const auto [writeError, written] = co_await http::async_write(connection.socket(), request, UseResult);
     http::response<http::string_body> response;
     boost::system::error_code readError = writeError;
     if (!writeError) {
         std::tie(readError, std::ignore) = co_await http::async_read(connection.socket(), connection.buffer(), response, UseResult);
     }
-    loop->context.count(readError ? ServingEvent::CancelFailed : ServingEvent::CancelSent);
+    loop.context.count(readError ? ServingEvent::CancelFailed : ServingEvent::CancelSent);
     if (!readError && response.keep_alive()) {
-        loop->pool.giveBack(engine, std::move(upstream));
+        loop.pool.giveBack(engine, std::move(upstream));
     } else {
         connection.close();
     }
@@ -343,14 +340,14 @@
 
 }
 
-void cancelAtEngine(const std::shared_ptr<TrafficLoop> &loop, const Endpoint &engine, const AttemptId &attempt)
+void cancelAtEngine(TrafficLoop &loop, const Endpoint &engine, const AttemptId &attempt)
 {
-    if (loop->cancelsInProgress >= MaxCancelsInProgress) {
-        loop->context.count(ServingEvent::CancelFailed);
+    if (loop.cancelsInProgress >= MaxCancelsInProgress) {
+        loop.context.count(ServingEvent::CancelFailed);
         return;
     }
-    ++loop->cancelsInProgress;
-    asio::co_spawn(loop->io, sendCancel(loop, engine, attempt.toString()), asio::detached);
+    ++loop.cancelsInProgress;
+    asio::co_spawn(loop.io, sendCancel(loop, engine, attempt.toString()), asio::detached);
 }
 
 }
--- a/src/serving/engine_attempt.h
+++ b/src/serving/engine_attempt.h
@@ -6,6 +6,7 @@
 #include "serving/traffic_loop.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,7 @@
     std::string detail;
     std::string finishReason;
     std::uint32_t promptTokens = 0;
-    ServerSignal::Kind refusal = ServerSignal::Kind::Refused; // for RefusedBeforeRun
+    std::optional<ServerSignal::Kind> refusal; // what a refusal says about the server
 };
 
 /// Receives the tokens of an attempt in order, without gaps and repetitions.
@@ -54,7 +55,7 @@
 class EngineAttempt : public std::enable_shared_from_this<EngineAttempt>
 {
 public:
-    EngineAttempt(std::shared_ptr<TrafficLoop> loop, AttemptPlan plan, UpstreamConnection upstream, TokenSink &sink);
+    EngineAttempt(TrafficLoop &loop, AttemptPlan plan, UpstreamConnection upstream, TokenSink &sink);
     ~EngineAttempt();
 
     asio::awaitable<AttemptResult> run();
@@ -74,7 +75,7 @@
     AttemptResult failure(AttemptResult::End end, ResultCode code, std::string detail) const;
     AttemptResult transportFailure(std::string_view what, const std::string &error) const;
 
-    std::shared_ptr<TrafficLoop> loop_;
+    TrafficLoop &loop_;
     AttemptPlan plan_;
     UpstreamConnection upstream_;
     TokenSink *sink_;
@@ -86,6 +87,6 @@
 };
 
 /// Tells an engine to end an attempt; does not wait for the answer.
-void cancelAtEngine(const std::shared_ptr<TrafficLoop> &loop, const Endpoint &engine, const AttemptId &attempt);
+void cancelAtEngine(TrafficLoop &loop, const Endpoint &engine, const AttemptId &attempt);
 
 }
--- a/src/serving/front_end_settings.h
+++ b/src/serving/front_end_settings.h
@@ -40,6 +40,7 @@
     Duration leavingServerMemory = minutes(1); // a server that announced its leaving gets no calls for so long
 
     Duration drainNotice = seconds(2); // from /readyz turning 503 to refusing requests, so that the balancer notices
+    Duration drainRecordTime = seconds(10); // longest wait for outcomes of calls to be recorded when draining
 };
 
 }
--- a/src/serving/http_front_end.cpp
+++ b/src/serving/http_front_end.cpp
@@ -3,6 +3,7 @@
 #include "observe/log.h"
 #include "routing/dispatcher.h"
 #include "serving/caller_session.h"
+#include "serving/service_call.h"
 #include "serving/traffic_loop.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,6 +25,7 @@
 
 constexpr auto AcceptPause = milliseconds(20); // after a failed accept, e.g. without free descriptors
 constexpr auto DrainCheckInterval = milliseconds(20);
+constexpr auto ClaimTickInterval = milliseconds(200);
 constexpr auto SweepInterval = seconds(1);
 
 boost::system::error_code openAcceptor(Acceptor &acceptor, const Endpoint &endpoint)
@@ -56,11 +58,11 @@
     co_await timer.async_wait(UseResult);
 }
 
-asio::awaitable<void> acceptCallers(std::shared_ptr<TrafficLoop> loop, Acceptor acceptor)
+asio::awaitable<void> acceptCallers(TrafficLoop &loop, ServiceShared &services, Acceptor acceptor)
 {
     while (true) {
         // Callers beyond the limit wait in the listen queue or reach another thread.
-        if (loop->callerConnections >= loop->context.settings.maxConnectionsPerThread) {
+        if (loop.callerConnections >= loop.context.settings.maxConnectionsPerThread) {
             co_await pauseFor(AcceptPause);
             continue;
         }
@@ -71,15 +73,15 @@
         }
         boost::system::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        std::make_shared<CallerSession>(loop, std::make_shared<Connection>(std::move(socket)))->start();
+        std::make_shared<CallerSession>(loop, services, std::make_shared<Connection>(std::move(socket)))->start();
     }
 }
 
-asio::awaitable<void> sweepPool(std::shared_ptr<TrafficLoop> loop)
+asio::awaitable<void> sweepPool(TrafficLoop &loop)
 {
     while (true) {
         co_await pauseFor(SweepInterval);
-        loop->pool.sweep();
+        loop.pool.sweep();
     }
 }
 
@@ -88,8 +90,9 @@
 class HttpFrontEnd::Impl
 {
 public:
-    Impl(FrontEndDependencies dependencies, const FrontEndSettings &settings, std::vector<Endpoint> endpoints)
-        : endpoints_(std::move(endpoints))
+    Impl(FrontEndDependencies dependencies, const FrontEndSettings &settings, const ClaimStoreSettings &claimSettings, std::vector<Endpoint> endpoints)
+        : services_(dependencies, claimSettings)
+        , endpoints_(std::move(endpoints))
     {
         context_.dependencies = std::move(dependencies);
         context_.settings = settings;
@@ -113,12 +116,13 @@
                     return error;
                 }
                 endpoint.port = acceptor.local_endpoint().port();
-                asio::co_spawn(loop->io, acceptCallers(loop, std::move(acceptor)), asio::detached);
+                asio::co_spawn(loop->io, acceptCallers(*loop, services_, std::move(acceptor)), asio::detached);
             }
-            asio::co_spawn(loop->io, sweepPool(loop), asio::detached);
+            asio::co_spawn(loop->io, sweepPool(*loop), asio::detached);
         }
+        asio::co_spawn(loops_.front()->io, tickClaims(), asio::detached);
         for (const auto &loop : loops_) {
-            threads_.emplace_back([loop] { loop->io.run(); });
+            threads_.emplace_back([io = &loop->io] { io->run(); });
         }
         return {};
     }
@@ -138,13 +142,28 @@
             loop->io.stop();
         }
         threads_.clear(); // joins
+        // A thread of the daemon may be delivering a value to a loop at this moment; the loop must be destroyed here.
+        for (const auto &loop : loops_) {
+            while (loop.use_count() > 1) {
+                std::this_thread::yield();
+            }
+        }
         loops_.clear();
     }
 
     FrontEndContext context_;
+    ServiceShared services_;
     std::vector<Endpoint> endpoints_;
 
 private:
+    asio::awaitable<void> tickClaims()
+    {
+        while (services_.claims.isUsed()) {
+            co_await pauseFor(ClaimTickInterval);
+            services_.claims.post([](ClaimStore &claims) { claims.tick(); });
+        }
+    }
+
     asio::awaitable<void> waitForDrain(std::function<void()> done)
     {
         co_await pauseFor(context_.settings.drainNotice);
@@ -152,7 +171,14 @@
         while (context_.inProgress > 0) {
             co_await pauseFor(DrainCheckInterval);
         }
-        logLine(LogLevel::Info, "front end drained");
+        // Outcomes that are not recorded yet would be unknown to re-sent calls once this process ended.
+        std::size_t openClaims = services_.claims.isUsed() ? co_await services_.claims.countOpen(*loops_.front()) : 0;
+        const auto giveUpAt = context_.dependencies.clock->now() + context_.settings.drainRecordTime;
+        while (openClaims > 0 && context_.dependencies.clock->now() < giveUpAt) {
+            co_await pauseFor(DrainCheckInterval);
+            openClaims = co_await services_.claims.countOpen(*loops_.front());
+        }
+        logLine(LogLevel::Info, "front end drained", {{"unrecorded_claims", static_cast<std::uint64_t>(openClaims)}});
         if (done) {
             done();
         }
@@ -194,6 +220,11 @@
     return impl_->context_.inProgress;
 }
 
+void HttpFrontEnd::withClaims(std::function<void(ClaimStore &)> action)
+{
+    impl_->services_.claims.post(std::move(action));
+}
+
 void HttpFrontEnd::stop()
 {
     impl_->stop();
@@ -211,6 +242,12 @@
     return *this;
 }
 
+HttpFrontEndBuilder &HttpFrontEndBuilder::claimSettings(const ClaimStoreSettings &settings)
+{
+    claimSettings_ = std::make_shared<const ClaimStoreSettings>(settings);
+    return *this;
+}
+
 HttpFrontEndBuilder &HttpFrontEndBuilder::listenOn(Endpoint endpoint)
 {
     endpoints_.push_back(std::move(endpoint));
@@ -222,7 +259,8 @@
     if (dependencies_.dispatcher == nullptr || dependencies_.clock == nullptr || !dependencies_.snapshot || endpoints_.empty()) {
         return nullptr;
     }
-    return std::unique_ptr<HttpFrontEnd>(new HttpFrontEnd(std::make_unique<HttpFrontEnd::Impl>(dependencies_, settings_, endpoints_)));
+    const auto claimSettings = claimSettings_ ? *claimSettings_ : ClaimStoreSettings();
+    return std::unique_ptr<HttpFrontEnd>(new HttpFrontEnd(std::make_unique<HttpFrontEnd::Impl>(dependencies_, settings_, claimSettings, endpoints_)));
 }
 
 }
--- a/src/serving/http_front_end.h
+++ b/src/serving/http_front_end.h
@@ -18,6 +18,9 @@
 class Dispatcher;
 class ServingMetrics;
 class ObjectStore;
+class PeerClaims;
+class ClaimStore;
+struct ClaimStoreSettings;
 
 /// What the front end needs from the daemon. All referenced objects outlive the front end.
 struct FrontEndDependencies {
@@ -28,6 +31,14 @@
     std::function<bool()> isReady; // asked by /readyz besides the front end's own state; thread-safe; null: always ready
     ServerSignalHandler onServerSignal; // may be null
     ServingMetrics *metrics = nullptr; // may be null
+
+    // For non-idempotent calls, which are refused with claim_unavailable when one of the first three is missing.
+    ObjectStore *claimObjects = nullptr;
+    PeerClaims *peerClaims = nullptr;
+    std::function<void(std::function<void()>)> postToClaims; // runs an action on the executor of claimObjects; thread-safe
+    MemberId self; // together with processIncarnation the owner of claims
+    std::function<std::chrono::milliseconds()> wallTime; // since the Unix epoch; null: the system clock
+    std::function<void(std::chrono::milliseconds at)> onPlatformRestored; // to tell peers; on the executor of claimObjects; may be null
 };
 
 /// The HTTP server for callers. Runs its own traffic threads between start() and stop().
@@ -50,6 +61,10 @@
     /// Requests that were received and not yet answered.
     std::uint64_t requestsInProgress() const;
 
+    /// Runs @p action with the claim store on its executor, for what peers ask or report: ClaimStore::relinquish(),
+    /// observeRevision(), noteRestore() and sweep(). Thread-safe; does nothing when no claims are used.
+    void withClaims(std::function<void(ClaimStore &)> action);
+
     /// Ends the traffic threads and breaks what is still in progress. Not to be called on a traffic thread.
     void stop();
 
@@ -66,6 +81,7 @@
 public:
     HttpFrontEndBuilder &dependencies(FrontEndDependencies dependencies);
     HttpFrontEndBuilder &settings(const FrontEndSettings &settings);
+    HttpFrontEndBuilder &claimSettings(const ClaimStoreSettings &settings);
     HttpFrontEndBuilder &listenOn(Endpoint endpoint);
     /// Null when a required part is missing.
     std::unique_ptr<HttpFrontEnd> build();
@@ -73,6 +89,7 @@
 private:
     FrontEndDependencies dependencies_;
     FrontEndSettings settings_;
+    std::shared_ptr<const ClaimStoreSettings> claimSettings_;
     std::vector<Endpoint> endpoints_;
 };
 
--- /dev/null
+++ b/src/serving/leaving_servers.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+#include <map>
+#include <mutex>
+
+namespace carawaypoint
+{
+
+/// Servers of plain services that announced their leaving to this daemon, before any list says so. Thread-safe.
+class LeavingServers
+{
+public:
+    void add(const Endpoint &server, TimePoint until);
+    bool contains(const Endpoint &server, TimePoint now) const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<Endpoint, TimePoint> until_;
+};
+
+}
--- a/src/serving/traffic_loop.h
+++ b/src/serving/traffic_loop.h
@@ -38,7 +38,7 @@
     }
 };
 
-/// One traffic thread's event loop with what only that thread uses.
+/// One traffic thread's event loop with what only that thread uses. Sessions refer to it and are owned by its coroutines.
 struct TrafficLoop : std::enable_shared_from_this<TrafficLoop> {
     explicit TrafficLoop(FrontEndContext &shared)
         : context(shared)
@@ -46,11 +46,12 @@
     {
     }
 
+    // Destroying io destroys the coroutines in progress, whose sessions use the members above it.
     FrontEndContext &context;
-    asio::io_context io{1};
-    ConnectionPool pool;
     std::uint32_t callerConnections = 0;
     std::uint32_t cancelsInProgress = 0;
+    asio::io_context io{1};
+    ConnectionPool pool;
 };
 
 /// Carries one value from any thread to a coroutine of a traffic loop.
@@ -58,8 +59,8 @@
 class Mailbox : public std::enable_shared_from_this<Mailbox<T>>
 {
 public:
-    explicit Mailbox(const std::shared_ptr<TrafficLoop> &loop)
-        : loop_(loop)
+    explicit Mailbox(TrafficLoop &loop)
+        : loop_(loop.weak_from_this())
     {
     }
 
--- a/tests/idempotency/claim_fakes.h
+++ b/tests/idempotency/claim_fakes.h
@@ -29,7 +29,8 @@
     }
     void runAll()
     {
-        while (runNext()) { }
+        while (runNext()) {
+        }
     }
     WallTime wallTime() const
     {
--- a/tests/idempotency/claim_simulation_test.cpp
+++ b/tests/idempotency/claim_simulation_test.cpp
@@ -183,7 +183,7 @@
         call.lastState = state;
         call.isCompleted = call.isCompleted || state == RunState::Completed;
         if (state == RunState::Completed) {
-            EXPECT_EQ(call.executions, 1) << call.key << " was called completed without having run";
+            EXPECT_EQ(call.executions, 1) << call.key << " was called completed";
             return;
         }
         if (state == RunState::NotRun && call.sends == 1) {
@@ -222,7 +222,8 @@
             }
         });
     });
-    ClaimStore::Dependencies dependencies{objects.get(), this, &simulation.time.clock, [this] { return simulation.time.wallTime(); }, {member, process}, nullptr};
+    ClaimStore::Dependencies dependencies{objects.get(),     this,   &simulation.time.clock, [this] { return simulation.time.wallTime(); },
+                                          {member, process}, nullptr};
     claims = std::make_unique<ClaimStore>(dependencies, ClaimStoreSettings(), process * 1000 + simulation.random());
 }
 
