Add contract tests of the front end with fault cases

Cause: every failure needs its result code and an honest run state, and no token may be missing, doubled or foreign. Change: tables of 27 bad inputs and 21 engine faults, each streamed and whole, with and without another replica, plus caller disconnect, slow callers, dead pooled connections, attempt limit and drain. Ruled out: a drain test that sends model requests while the drain is being announced; they are rightly accepted then and waited for the engine, so the test asks an unknown path instead.

--- a/src/idempotency/claim_machine.cpp
+++ b/src/idempotency/claim_machine.cpp
@@ -29,6 +29,7 @@
 
     // Nothing leads from a state after the dispatch back to one that could be relinquished, but for the server's own
     // statement that it did not run the call.
+    // NOLINTNEXTLINE(readability-identifier-naming): the name that MSM requires
     struct transition_table : boost::mpl::vector<Row<Absent, ClaimEvent::Created, Claimed>,
                                                  Row<Absent, ClaimEvent::Close, NotRun>,
                                                  Row<Absent, ClaimEvent::Relinquish, Relinquished>,
--- a/src/idempotency/claim_store.h
+++ b/src/idempotency/claim_store.h
@@ -20,7 +20,7 @@
 
 struct ClaimStoreSettings {
     ClaimKeyRules keys;
-    std::size_t maxAnswerBytes = 64 * 1024; // a larger answer is recorded without its body
+    std::size_t maxAnswerBytes = 64UL * 1024; // a larger answer is recorded without its body
     std::size_t maxOpenClaims = 20'000; // claims whose outcome is not recorded yet; more calls are refused
     std::size_t maxKeptForCleanup = 100'000;
     unsigned maxTries = 4; // writes and reads of one begin()
--- a/src/serving/front_end_settings.h
+++ b/src/serving/front_end_settings.h
@@ -14,9 +14,9 @@
     std::uint32_t maxConnectionsPerThread = 8192;
 
     std::uint32_t maxHeaderBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 1024 * 1024;
-    std::size_t maxAnswerBytes = 8 * 1024 * 1024; // of an answer that is collected before it is sent
-    std::size_t maxEventBytes = 64 * 1024; // of one event from an engine
+    std::uint64_t maxBodyBytes = 1024UL * 1024;
+    std::size_t maxAnswerBytes = 8UL * 1024 * 1024; // of an answer that is collected before it is sent
+    std::size_t maxEventBytes = 64UL * 1024; // of one event from an engine
 
     Duration idleTimeout = seconds(75); // between requests of one caller connection
     Duration headerTimeout = seconds(10);
--- /dev/null
+++ b/tests/serving/engine_fault_test.cpp
@@ -0,0 +1,277 @@
+#include "serving/front_end_fixture.h"
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+constexpr unsigned TokenCount = 5;
+
+/// How a faulty engine answers a model request.
+struct Fault {
+    std::string name;
+    FakeServer::Handler answer;
+    unsigned delivered = 0; // tokens that are good before the fault
+    bool mayHaveRun = true;
+    std::string alone; // result code when no other replica is left
+    std::optional<AttemptOutcome> outcome; // none: the answer is good all the same
+};
+
+FakeServer::Handler sending(std::function<std::string(const TestMessage &)> text, bool staysOpen)
+{
+    return [text, staysOpen](const TestMessage &request, TestConnection &connection) {
+        connection.write(text(request));
+        return staysOpen && !connection.isClosedByPeer();
+    };
+}
+
+FakeServer::Handler refusing(int status, const std::string &code)
+{
+    return [status, code](const TestMessage &request, TestConnection &connection) {
+        return connection.write(responseText(status, "X-Attempt-Id: " + request.header("x-attempt-id") + "\r\n", R"({"code":")" + code + "\"}"));
+    };
+}
+
+std::string replaceAll(std::string text, const std::string &from, const std::string &to)
+{
+    for (auto at = text.find(from); at != std::string::npos; at = text.find(from, at + to.size())) {
+        text.replace(at, from.size(), to);
+    }
+    return text;
+}
+
+std::vector<Fault> faults()
+{
+    using Request = const TestMessage &;
+    const auto partly = [](Request request) {
+        return EngineAnswer::tokens(request, 2, false);
+    };
+    const auto chunk = EngineAnswer::chunk;
+    const auto token = EngineAnswer::token;
+    const auto lost = AttemptOutcome::ReplicaLost;
+    const auto stalled = AttemptOutcome::Stalled;
+    const auto refused = AttemptOutcome::Refused;
+    const std::string noReplica = "400 no_replica_available";
+    return {
+        {"draining", refusing(503, "draining"), 0, false, noReplica, refused},
+        {"full", refusing(503, "full"), 0, false, noReplica, refused},
+        {"not loaded", refusing(503, "not_loaded"), 0, false, noReplica, refused},
+        {"wrong replica", refusing(409, "wrong_replica"), 0, false, noReplica, refused},
+        {"server error", refusing(500, "draining"), 0, true, noReplica, stalled},
+        {"refusal of another attempt", sending([](Request) { return responseText(503, "X-Attempt-Id: 1-1-1\r\n", R"({"code":"draining"})"); }, true), 0, true,
+         noReplica, stalled},
+        {"closes before the answer", sending([](Request) { return ""; }, false), 0, true, noReplica, lost},
+        {"closes within the header", sending([](Request) { return "HTTP/1.1 200 OK\r\nX-A"; }, false), 0, true, noReplica, lost},
+        {"is not HTTP", sending([](Request) { return "nonsense\r\n\r\n"; }, false), 0, true, noReplica, lost},
+        {"says nothing", sending([](Request) { return ""; }, true), 0, true, noReplica, stalled},
+        {"sends no token", sending(EngineAnswer::head, true), 0, true, noReplica, stalled},
+        {"closes within the stream", sending(partly, false), 2, true, noReplica, lost},
+        {"stops within the stream", sending(partly, true), 2, true, noReplica, stalled},
+        {"ends the encoding without the end marker", sending([=](Request request) { return partly(request) + EndOfChunks; }, true), 2, true, noReplica, lost},
+        {"end marker without finish reason", sending([=](Request request) { return partly(request) + chunk("data: [DONE]\n\n") + EndOfChunks; }, true), 2, true,
+         noReplica, stalled},
+        {"last token lost", sending([=](Request request) { return partly(request) + chunk(EngineAnswer::finish(request, 3)) + EndOfChunks; }, true), 2, true,
+         noReplica, stalled},
+        {"token skipped", sending([=](Request request) { return partly(request) + chunk(token(request, 3)); }, true), 2, true, noReplica, stalled},
+        {"malformed event", sending([=](Request request) { return partly(request) + chunk("data: {\n\n"); }, true), 2, true, noReplica, stalled},
+        {"answer to another attempt",
+         sending([](Request request) { return replaceAll(EngineAnswer::tokens(request, TokenCount, true), request.header("x-attempt-id"), "17-1-99"); }, true),
+         0, true, noReplica, stalled},
+        {"answer of another replica",
+         sending([](Request request) { return replaceAll(EngineAnswer::tokens(request, TokenCount, true), request.header("x-replica"), "r9/7"); }, true), 0,
+         true, noReplica, stalled},
+        {"repeats a token and mixes in another attempt",
+         sending(
+             [=](Request request) {
+                 auto foreign = replaceAll(token(request, 2), request.header("x-attempt-id"), "17-1-99");
+                 foreign = replaceAll(foreign, "w2", "foreign");
+                 return partly(request) + chunk(token(request, 1)) + chunk(foreign) + chunk(token(request, 2)) + chunk(token(request, 3))
+                     + chunk(token(request, 4)) + chunk(EngineAnswer::finish(request, TokenCount)) + EndOfChunks;
+             },
+             true),
+         TokenCount, true, "100 ok", std::nullopt},
+    };
+}
+
+}
+
+class EngineFaults : public FrontEndFixture
+{
+protected:
+    EngineFaults()
+    {
+        settings_.firstByteTimeout = milliseconds(150);
+        settings_.interTokenTimeout = milliseconds(150);
+    }
+
+    /// The faulty engine; counts requests that it did not refuse, and remembers cancels.
+    FakeServer::Handler faulty(const Fault &fault)
+    {
+        return [this, fault](const TestMessage &request, TestConnection &connection) {
+            if (request.startLine.starts_with("POST /control/cancel")) {
+                ++cancels_;
+                return connection.write(responseText(200, "", "{}"));
+            }
+            executions_ += fault.mayHaveRun ? 1 : 0;
+            return fault.answer(request, connection);
+        };
+    }
+
+    FakeServer::Handler sound()
+    {
+        return [this](const TestMessage &request, TestConnection &connection) {
+            resumedFrom_ = request.header("x-resume-from");
+            return connection.write(EngineAnswer::tokens(request, TokenCount, true));
+        };
+    }
+
+    static unsigned count(const std::string &text, const std::string &part)
+    {
+        unsigned number = 0;
+        for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+            ++number;
+        }
+        return number;
+    }
+
+    void checkWithSecondReplica(const Fault &fault, bool isStreamed)
+    {
+        FakeServer first(faulty(fault));
+        FakeServer second(sound());
+        addReplica(first.endpoint());
+        addReplica(second.endpoint());
+        startFrontEnd();
+        const auto answer = chat(isStreamed);
+        EXPECT_TRUE(answer.isComplete);
+        EXPECT_EQ(answer.header("x-result-code"), "100 ok");
+        EXPECT_EQ(count(answer.body, "w"), TokenCount) << answer.body;
+        for (unsigned index = 0; index < TokenCount; ++index) {
+            EXPECT_EQ(count(answer.body, "w" + std::to_string(index) + " "), 1U) << answer.body;
+        }
+        EXPECT_EQ(count(answer.body, "foreign"), 0U);
+        if (fault.outcome) {
+            EXPECT_EQ(dispatcher_.outcomes(), (std::vector{*fault.outcome, AttemptOutcome::Completed}));
+            EXPECT_EQ(resumedFrom_, fault.delivered > 0 ? std::to_string(fault.delivered) : "");
+            EXPECT_TRUE(waitFor([&] { return cancels_ == (fault.mayHaveRun ? 1 : 0); }));
+        } else {
+            EXPECT_EQ(metrics_.of(ServingEvent::RepeatedTokenDropped), 1U);
+            EXPECT_EQ(metrics_.of(ServingEvent::WrongAttemptDropped), 1U);
+        }
+        frontEnd_.reset();
+    }
+
+    void checkAlone(const Fault &fault, bool isStreamed)
+    {
+        FakeServer first(faulty(fault));
+        addReplica(first.endpoint());
+        startFrontEnd();
+        const auto answer = chat(isStreamed);
+        if (!fault.outcome) {
+            EXPECT_TRUE(answer.isComplete);
+        } else if (isStreamed && fault.delivered > 0) {
+            EXPECT_FALSE(answer.isComplete) << "a truncated stream was shown as complete";
+            EXPECT_EQ(count(answer.body, "[DONE]"), 0U);
+            EXPECT_EQ(count(answer.body, R"("run_state":"unknown")"), 1U) << answer.body;
+            EXPECT_EQ(count(answer.body, R"("code":400)"), 1U) << answer.body;
+        } else {
+            EXPECT_EQ(answer.header("x-result-code"), fault.alone);
+            EXPECT_EQ(answer.header("x-run-state"), fault.mayHaveRun ? "unknown" : "not-run");
+            EXPECT_EQ(count(answer.body, "w0"), 0U) << "a truncated answer was passed on";
+        }
+        // Whatever is called not run has an execution count of zero.
+        EXPECT_EQ(answer.header("x-run-state") == "not-run", executions_ == 0);
+        frontEnd_.reset();
+    }
+
+    void reset()
+    {
+        dispatcher_.~FakeDispatcher();
+        new (&dispatcher_) FakeDispatcher();
+        metrics_.~CountingMetrics();
+        new (&metrics_) CountingMetrics();
+        executions_ = 0;
+        cancels_ = 0;
+        resumedFrom_.clear();
+    }
+
+    std::atomic<int> executions_ = 0;
+    std::atomic<int> cancels_ = 0;
+    std::string resumedFrom_;
+};
+
+// Guards against lost, doubled or foreign tokens, truncated answers shown as complete, attempts left running at the old
+// engine, and "not-run" for a request that ran.
+TEST_F(EngineFaults, areHiddenByAnotherReplicaOrReportedHonestly)
+{
+    for (const auto &fault : faults()) {
+        for (const bool isStreamed : {false, true}) {
+            SCOPED_TRACE(fault.name + (isStreamed ? ", streamed" : ""));
+            reset();
+            checkWithSecondReplica(fault, isStreamed);
+            reset();
+            checkAlone(fault, isStreamed);
+        }
+    }
+}
+
+// Guards against "unknown" where no byte was sent, and against sending to a replica that stopped being eligible.
+TEST_F(EngineFaults, nothingSentIsNotRun)
+{
+    FakeServer engine(sound());
+    addReplica(unusedEndpoint());
+    addReplica(engine.endpoint());
+    dispatcher_.ineligible = {"r2"};
+    startFrontEnd();
+    const auto answer = chat(false);
+    EXPECT_EQ(answer.header("x-result-code"), "400 no_replica_available");
+    EXPECT_EQ(answer.header("x-run-state"), "not-run");
+    EXPECT_EQ(signals(), std::vector{ServerSignal::Kind::ConnectFailed});
+    dispatcher_.ineligible.clear();
+    EXPECT_EQ(chat(false).status(), 200);
+}
+
+// Guards against a request that fails because its pooled connection died or went silent while the engine is well.
+TEST_F(EngineFaults, deadPooledConnectionIsReplacedAtTheSameReplica)
+{
+    for (const bool isSilent : {false, true}) {
+        reset();
+        std::atomic<bool> isFaulty = false;
+        FakeServer engine([&](const TestMessage &request, TestConnection &connection) {
+            if (request.startLine.starts_with("POST /control/cancel")) {
+                return connection.write(responseText(200, "", "{}"));
+            }
+            if (isFaulty.exchange(false)) {
+                return isSilent && !connection.isClosedByPeer();
+            }
+            return connection.write(EngineAnswer::tokens(request, TokenCount, true));
+        });
+        addReplica(engine.endpoint());
+        startFrontEnd();
+        ASSERT_EQ(chat(false).status(), 200);
+        isFaulty = true;
+        EXPECT_EQ(chat(false).status(), 200);
+        EXPECT_EQ(metrics_.of(ServingEvent::FreshConnectionRetry), 1U);
+        EXPECT_EQ(dispatcher_.outcomes(), (std::vector{AttemptOutcome::Completed, AttemptOutcome::Completed}));
+        frontEnd_.reset();
+    }
+}
+
+// Guards against more attempts than the settings allow.
+TEST_F(EngineFaults, attemptsAreBounded)
+{
+    std::atomic<int> sent = 0;
+    FakeServer engine([&](const TestMessage &request, TestConnection &connection) {
+        sent += request.startLine.starts_with("POST /v1") ? 1 : 0;
+        return refusing(503, "full")(request, connection);
+    });
+    for (int i = 0; i < 10; ++i) {
+        addReplica(engine.endpoint());
+    }
+    settings_.maxAttempts = 3;
+    startFrontEnd();
+    EXPECT_EQ(chat(false).header("x-result-code"), "404 backend_refused");
+    EXPECT_EQ(sent, 3);
+}
+
+}
--- a/tests/serving/front_end_test.cpp
+++ b/tests/serving/front_end_test.cpp
@@ -56,6 +56,175 @@
     snapshot_.generation = 0;
     EXPECT_EQ(call("GET /healthz HTTP/1.1\r\n\r\n").status(), 200);
     EXPECT_EQ(call("GET /readyz HTTP/1.1\r\n\r\n").header("x-result-code"), "305 not_ready");
+    EXPECT_EQ(chat(false).header("x-result-code"), "305 not_ready");
+}
+
+// Guards against bad input that reaches the dispatcher or an engine, and against a wrong result code for it.
+TEST_F(FrontEnd, refusesBadInputBeforeRouting)
+{
+    FakeServer engine(wholeAnswers(1));
+    addReplica(engine.endpoint());
+    settings_.headerTimeout = milliseconds(60);
+    settings_.bodyTimeout = milliseconds(60);
+    settings_.maxBodyBytes = 4000;
+    startFrontEnd();
+    const auto post = [](const std::string &body, const std::string &headers = "X-Customer: c\r\n") {
+        return postText("/v1/chat/completions", headers, body);
+    };
+    const std::string messages = R"("messages":[{"role":"user","content":"hi"}])";
+    struct Case {
+        std::string request;
+        std::string code;
+        int status;
+    };
+    const Case cases[] = {
+        {post("{"), "200 malformed_request", 400},
+        {post("[]"), "200 malformed_request", 400},
+        {post("{" + messages + "}"), "200 malformed_request", 400},
+        {post(R"({"model":"m"})"), "200 malformed_request", 400},
+        {post(R"({"model":"m","messages":[]})"), "200 malformed_request", 400},
+        {post(R"({"model":"m","messages":[{"role":"user"}]})"), "200 malformed_request", 400},
+        {post(R"({"model":"m","max_tokens":0,)" + messages + "}"), "200 malformed_request", 400},
+        {post(R"({"model":"m","max_tokens":1001,)" + messages + "}"), "200 malformed_request", 400},
+        {post(R"({"model":"m","max_tokens":-1,)" + messages + "}"), "200 malformed_request", 400},
+        {post(R"({"model":"m","stream":1,)" + messages + "}"), "200 malformed_request", 400},
+        {post(R"({"model":"m",)" + messages + "}", "X-Customer: c\r\nX-Deadline-Ms: 0\r\n"), "200 malformed_request", 400},
+        {post(R"({"model":"m",)" + messages + "}", "X-Customer: c\r\nX-Deadline-Ms: 1s\r\n"), "200 malformed_request", 400},
+        {post(R"({"model":"x",)" + messages + "}"), "203 unknown_model", 404},
+        {post(R"({"model":"m","adapter":"b",)" + messages + "}"), "207 unknown_adapter", 404},
+        {post(R"({"model":"m",)" + messages + "}", ""), "204 unknown_customer", 401},
+        {post(R"({"model":"m",)" + messages + "}", "X-Customer: d\r\n"), "204 unknown_customer", 401},
+        {post(R"({"model":"m","messages":[{"role":"user","content":")" + std::string(500, 'a') + "\"}]}"), "201 request_too_large", 413},
+        {post(std::string(5000, ' ')), "201 request_too_large", 413},
+        {post("{}", "X-Long: " + std::string(20'000, 'a') + "\r\n"), "201 request_too_large", 413},
+        {"GET /v1/chat/completions HTTP/1.1\r\n\r\n", "200 malformed_request", 405},
+        {"GET /other HTTP/1.1\r\n\r\n", "206 unknown_path", 404},
+        {"GET /services/none/x HTTP/1.1\r\nX-Customer: c\r\n\r\n", "205 unknown_service", 404},
+        {"nonsense\r\n\r\n", "200 malformed_request", 400},
+        {"GET /healthz HTTP/1.0\r\n\r\n", "200 malformed_request", 400},
+        {"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: x\r\n\r\n", "200 malformed_request", 400},
+        {"POST /v1/chat/comp", "202 request_too_slow", 408},
+        {"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 10\r\n\r\n{", "202 request_too_slow", 408},
+    };
+    for (const auto &[request, code, status] : cases) {
+        const auto answer = call(request);
+        EXPECT_EQ(answer.header("x-result-code"), code) << request.substr(0, 200);
+        EXPECT_EQ(answer.status(), status) << request.substr(0, 200);
+        EXPECT_EQ(answer.header("x-run-state"), "not-run") << request.substr(0, 200);
+        EXPECT_FALSE(answer.header("x-request-id").empty());
+    }
+    EXPECT_EQ(dispatcher_.submitted, 0);
+    EXPECT_EQ(executions_, 0);
+}
+
+// Guards against an admission refusal that loses its code, its advice or its run state.
+TEST_F(FrontEnd, reportsRefusalsOfTheDispatcher)
+{
+    FakeServer engine(wholeAnswers(1));
+    addReplica(engine.endpoint());
+    startFrontEnd();
+    const std::pair<ResultCode, std::string> cases[] = {{ResultCode::QueueFull, "not-run"},
+                                                        {ResultCode::DeadlineWouldPass, "not-run"},
+                                                        {ResultCode::CustomerOverShare, "not-run"},
+                                                        {ResultCode::NoReplicaAvailable, "not-run"},
+                                                        {ResultCode::RequestQuarantined, "unknown"}};
+    for (const auto &[code, state] : cases) {
+        dispatcher_.refusal = code;
+        const auto answer = chat(true);
+        EXPECT_EQ(answer.status(), static_cast<int>(resultCodeInfo(code).httpStatus));
+        EXPECT_EQ(answer.header("x-run-state"), state) << resultCodeName(code);
+        EXPECT_EQ(answer.header("retry-after"), "2");
+        EXPECT_NE(answer.body.find(std::string(resultCodeName(code))), std::string::npos);
+    }
+    EXPECT_EQ(executions_, 0);
+}
+
+// Guards against work that goes on for a caller that left, in the queue or at the engine.
+TEST_F(FrontEnd, cancelsWhenTheCallerLeaves)
+{
+    std::atomic<bool> isCancelled = false;
+    FakeServer engine([&](const TestMessage &request, TestConnection &connection) {
+        if (request.startLine.starts_with("POST /control/cancel")) {
+            isCancelled = request.body == R"({"attempt":"17-2-1"})";
+            return connection.write(responseText(200, "", "{}"));
+        }
+        connection.write(EngineAnswer::tokens(request, 1, false));
+        return !connection.isClosedByPeer();
+    });
+    addReplica(engine.endpoint());
+    startFrontEnd();
+    dispatcher_.holdsGrants = true;
+    {
+        const auto caller = connect();
+        caller.write(chatRequest(true));
+        ASSERT_TRUE(waitFor([&] { return dispatcher_.submitted == 1; }));
+    }
+    EXPECT_TRUE(waitFor([&] { return dispatcher_.cancelled == 1; }));
+    dispatcher_.holdsGrants = false;
+    {
+        auto caller = connect();
+        caller.write(chatRequest(true));
+        ASSERT_TRUE(caller.readUntil("w0"));
+    }
+    EXPECT_TRUE(waitFor([&] { return isCancelled.load(); }));
+    EXPECT_TRUE(waitFor([&] { return dispatcher_.outcomes() == std::vector{AttemptOutcome::Cancelled}; }));
+    EXPECT_TRUE(waitFor([&] { return frontEnd_->requestsInProgress() == 0; }));
+}
+
+// Guards against memory that grows with what a slow caller does not take, and against a slot held by it for ever.
+TEST_F(FrontEnd, holdsTheEngineBackForSlowCallers)
+{
+    std::atomic<std::size_t> sent = 0;
+    FakeServer engine([&](const TestMessage &request, TestConnection &connection) {
+        if (request.startLine.starts_with("POST /control/cancel")) {
+            return connection.write(responseText(200, "", "{}"));
+        }
+        connection.write(EngineAnswer::head(request));
+        for (unsigned index = 0;; ++index) {
+            auto token = EngineAnswer::token(request, index);
+            token.insert(token.find(" \""), std::string(32'000, 'x'));
+            if (!connection.write(EngineAnswer::chunk(token))) {
+                return false;
+            }
+            sent += token.size();
+        }
+    });
+    addReplica(engine.endpoint());
+    settings_.callerWriteTimeout = milliseconds(300);
+    startFrontEnd();
+    const auto caller = connect();
+    caller.write(chatRequest(true));
+    EXPECT_TRUE(waitFor([&] { return dispatcher_.outcomes() == std::vector{AttemptOutcome::Cancelled}; }));
+    // What fits into the kernel's buffers of two connections, which are some megabytes each at most.
+    EXPECT_LT(sent, 64U << 20U);
+}
+
+// Guards against a drain that interrupts a stream, refuses late or reports done early.
+TEST_F(FrontEnd, finishesStreamsBeforeItReportsDrained)
+{
+    std::atomic<bool> mayFinish = false;
+    FakeServer engine([&](const TestMessage &request, TestConnection &connection) {
+        connection.write(EngineAnswer::tokens(request, 1, false));
+        waitFor([&] { return mayFinish.load(); });
+        connection.write(EngineAnswer::chunk(EngineAnswer::token(request, 1)));
+        return connection.write(EngineAnswer::chunk(EngineAnswer::finish(request, 2)) + EndOfChunks);
+    });
+    addReplica(engine.endpoint());
+    startFrontEnd();
+    auto caller = connect();
+    caller.write(chatRequest(true));
+    ASSERT_TRUE(caller.readUntil("w0"));
+    std::atomic<bool> isDone = false;
+    frontEnd_->drain([&] { isDone = true; });
+    EXPECT_EQ(call("GET /readyz HTTP/1.1\r\n\r\n").header("x-result-code"), "304 draining");
+    EXPECT_TRUE(waitFor([&] { return call("GET /other HTTP/1.1\r\n\r\n").header("x-result-code") == "304 draining"; }));
+    EXPECT_EQ(call("GET /healthz HTTP/1.1\r\n\r\n").status(), 200);
+    EXPECT_FALSE(isDone);
+    mayFinish = true;
+    const auto answer = caller.read();
+    ASSERT_TRUE(answer && answer->isComplete);
+    EXPECT_NE(answer->body.find("w1"), std::string::npos);
+    EXPECT_TRUE(waitFor([&] { return isDone.load(); }));
 }
 
 }
