--- a/src/alarms/condition.cpp
+++ b/src/alarms/condition.cpp
@@ -91,7 +91,7 @@
             if (!isDomainLost(domain)) {
                 continue;
             }
-            lostDomains_.insert(domain.id);
+            lostDomains_.insert(domain.id.str());
             const double seen = static_cast<double>(domain.seenVms) / domain.vms;
             auto detail = std::to_string(domain.vms - domain.seenVms) + " of " + std::to_string(domain.vms) + " VMs do not answer";
             auto &condition = add({AlarmKind::DomainLost, DomainKey{facts_.zone, domain.id}.objectName(), seen, std::move(detail), {}, false});
@@ -105,9 +105,9 @@
 
     void findReplicas()
     {
-        std::map<ModelId, std::uint32_t> known; // replicas that serve or whose loss has a condition
+        std::map<std::string, std::uint32_t> known; // replicas that serve or whose loss has a condition
         for (const auto &replica : facts_.replicas) {
-            ++known[replica.model];
+            ++known[replica.model.str()];
             if (replica.isServing) {
                 continue;
             }
@@ -115,11 +115,11 @@
             std::transform(replica.missingVms.begin(), replica.missingVms.end(), std::back_inserter(missing), [](const VmId &vm) { return vm.str(); });
             auto detail = missing.empty() ? "all VMs answer, but the replica is not loaded" : "missing: " + join(missing);
             // Repair needs the platform; without it the time would run although nobody can act on the replica.
-            const bool isHeld = lostDomains_.contains(replica.domain) || !facts_.isPlatformReachable;
+            const bool isHeld = lostDomains_.contains(replica.domain.str()) || !facts_.isPlatformReachable;
             add({AlarmKind::ReplicaDown, replica.id.str(), replica.repairProgress, std::move(detail), {"model " + replica.model.str()}, isHeld});
         }
         for (const auto &model : facts_.models) {
-            const auto present = known[model.id];
+            const auto present = known[model.id.str()];
             if (present >= model.wantedReplicas) {
                 continue;
             }
@@ -168,7 +168,7 @@
     }
 
     const FleetFacts &facts_;
-    std::set<FabricDomainId> lostDomains_;
+    std::set<std::string> lostDomains_;
     std::map<std::string, Condition> conditions_;
 };
 
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace CLI
+namespace CLI // NOLINT(readability-identifier-naming): the name that the library has
 {
 class App;
 }
--- a/src/config/config_layer.h
+++ b/src/config/config_layer.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -18,7 +19,10 @@
     std::string kind;
     std::string name;
 
-    auto operator<=>(const SectionId &) const = default;
+    bool operator<(const SectionId &other) const
+    {
+        return std::tie(kind, name) < std::tie(other.kind, other.name);
+    }
 
     std::string toString() const
     {
--- a/src/config/config_loader.cpp
+++ b/src/config/config_loader.cpp
@@ -184,10 +184,10 @@
 
 void checkZones(const std::map<std::string, EffectiveConfig> &sites, const std::map<std::string, MergedConfig> &merged, std::vector<ConfigFault> &faults)
 {
-    std::map<ZoneId, std::string> siteOfZone;
+    std::map<std::string, std::string> siteOfZone;
     for (const auto &[site, config] : sites) {
         const auto &zone = config.siteSettings.zone;
-        const auto [first, isNew] = siteOfZone.emplace(zone, site);
+        const auto [first, isNew] = siteOfZone.emplace(zone.str(), site);
         if (!isNew && !zone.isEmpty()) {
             faults.push_back(
                 {merged.at(site).originOf({"site", ""}, "zone"), "site.zone", "expected a zone of its own, site " + first->second + " has the same"});
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -92,19 +92,6 @@
     return boost::json::serialize(boost::json::string_view(replaceInvalidUtf8(text)));
 }
 
-std::string formatTime(std::chrono::system_clock::time_point time)
-{
-    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
-    const auto wholeSeconds = static_cast<std::time_t>(sinceEpoch / 1000);
-    std::tm parts{};
-    gmtime_r(&wholeSeconds, &parts);
-    char text[40];
-    const auto length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
-    char fraction[8];
-    std::snprintf(fraction, sizeof fraction, ".%03dZ", static_cast<int>(sinceEpoch % 1000));
-    return std::string(text, length) + fraction;
-}
-
 std::string_view levelName(LogLevel level)
 {
     switch (level) {
@@ -146,7 +133,7 @@
     }
     auto &state = logState();
     std::string json = "{";
-    appendMember(json, "time", quoteJson(formatTime(std::chrono::system_clock::now())));
+    appendMember(json, "time", quoteJson(formatUtc(std::chrono::system_clock::now())));
     appendMember(json, "level", quoteJson(levelName(level)));
     {
         const std::lock_guard lock(state.mutex);
@@ -214,6 +201,19 @@
 {
 }
 
+std::string formatUtc(std::chrono::system_clock::time_point time)
+{
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    const auto wholeSeconds = static_cast<std::time_t>(sinceEpoch / 1000);
+    std::tm parts{};
+    gmtime_r(&wholeSeconds, &parts);
+    char text[40];
+    const auto length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+    char fraction[8];
+    std::snprintf(fraction, sizeof fraction, ".%03dZ", static_cast<int>(sinceEpoch % 1000));
+    return std::string(text, length) + fraction;
+}
+
 LogLevel parseLogLevel(std::string_view name)
 {
     for (const auto level : {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -2,6 +2,7 @@
 
 #include <initializer_list>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -46,6 +47,9 @@
     std::string json_;
 };
 
+/// `2026-12-04T06:00:00.000Z`, as in log lines.
+std::string formatUtc(std::chrono::system_clock::time_point time);
+
 /// The level named "debug", "info", "warning" or "error"; Info for another name.
 LogLevel parseLogLevel(std::string_view name);
 
