--- a/src/daemon/admin_json.cpp
+++ b/src/daemon/status_bodies.cpp
@@ -1,10 +1,8 @@
-#include "daemon/admin_json.h"
+#include "daemon/status_bodies.h"
 
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <ctime>
 
 namespace carawaypoint
 {
@@ -124,46 +122,9 @@
     return stranded;
 }
 
-std::string wallTimeOf(TimePoint time, TimePoint now)
-{
-    return formatWallTime(std::chrono::system_clock::now() - std::chrono::duration_cast<std::chrono::system_clock::duration>(now - time));
 }
 
-json::array alarmArray(const std::vector<Alarm> &alarms, TimePoint now)
-{
-    json::array array;
-    for (const auto &alarm : alarms) {
-        json::array effects;
-        for (const auto &effect : alarm.condition.effects) {
-            effects.emplace_back(effect);
-        }
-        json::object object{{"cause", alarm.condition.cause()},      {"detail", alarm.condition.detail},
-                            {"since", wallTimeOf(alarm.since, now)}, {"raised_at", wallTimeOf(alarm.raisedAt, now)},
-                            {"effects", std::move(effects)},         {"advice", alarmKindInfo(alarm.condition.kind).advice}};
-        if (!alarm.isActive()) {
-            object["cleared_at"] = wallTimeOf(alarm.clearedAt, now);
-        }
-        array.push_back(std::move(object));
-    }
-    return array;
-}
-
-}
-
-std::string formatWallTime(std::chrono::system_clock::time_point time)
-{
-    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
-    const std::time_t whole = sinceEpoch / 1000;
-    std::tm parts{};
-    gmtime_r(&whole, &parts);
-    std::string text(40, '\0');
-    const int length = std::snprintf(text.data(), text.size(), "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ", parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
-                                     parts.tm_hour, parts.tm_min, parts.tm_sec, static_cast<int>(sinceEpoch % 1000));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
-std::string statusJson(const DaemonStatus &status)
+std::string statusBody(const DaemonStatus &status)
 {
     const json::object body{{"daemon", status.daemon.str()},
                             {"zone", status.zone.str()},
@@ -178,7 +139,7 @@
     return json::serialize(body);
 }
 
-std::string configStatusJson(std::uint64_t newestGeneration, const std::vector<MemberGeneration> &members)
+std::string configStatusBody(std::uint64_t newestGeneration, const std::vector<MemberGeneration> &members)
 {
     json::array array;
     for (const auto &[member, since] : members) {
@@ -191,24 +152,4 @@
     return json::serialize(json::object{{"generation", newestGeneration}, {"members", std::move(array)}});
 }
 
-std::string alarmsJson(const std::vector<Alarm> &active, const std::vector<Alarm> &recent, TimePoint now)
-{
-    return json::serialize(json::object{{"active", alarmArray(active, now)}, {"recent", alarmArray(recent, now)}});
-}
-
-std::string decisionsJson(std::string_view subject, const std::vector<DecisionRecord> &records)
-{
-    json::array array;
-    for (const auto &record : records) {
-        boost::system::error_code error;
-        json::value fields = json::parse(record.fieldsJson, error);
-        array.push_back(json::object{{"time", formatWallTime(record.at)},
-                                     {"kind", record.kind},
-                                     {"choice", record.choice},
-                                     {"reason", record.reason},
-                                     {"fields", error ? json::value(json::object{}) : std::move(fields)}});
-    }
-    return json::serialize(json::object{{"subject", subject}, {"records", std::move(array)}});
-}
-
 }
--- a/src/daemon/admin_json.h
+++ b/src/daemon/status_bodies.h
@@ -1,13 +1,8 @@
 #pragma once
 
-#include "alarms/alarm_book.h"
 #include "assignment/controller.h"
 #include "membership/messages.h"
-#include "observe/decision_log.h"
 
-#include <chrono>
-#include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -35,13 +30,9 @@
     std::string inForceSince; // empty when it is not known
 };
 
-std::string statusJson(const DaemonStatus &status);
-std::string configStatusJson(std::uint64_t newestGeneration, const std::vector<MemberGeneration> &members);
-/// @param now of the monotonic clock that the alarms' times are in.
-std::string alarmsJson(const std::vector<Alarm> &active, const std::vector<Alarm> &recent, TimePoint now);
-std::string decisionsJson(std::string_view subject, const std::vector<DecisionRecord> &records);
-
-/// `2026-03-01T12:00:00.000Z`.
-std::string formatWallTime(std::chrono::system_clock::time_point time);
+/// Body of `GET /admin/status`.
+std::string statusBody(const DaemonStatus &status);
+/// Body of `GET /admin/config/status`.
+std::string configStatusBody(std::uint64_t newestGeneration, const std::vector<MemberGeneration> &members);
 
 }
