Treat planned stops as no fault in the alarms, test the line comparison

Cause: a drained VM takes its replica out of service on purpose; an alarm for it would be one for no fault. Change: ReplicaFacts::isPlannedStop; tests that line differences turn one text into the other (300 rounds, fixed seed) and that comments do not become part of a value.

--- a/src/alarms/condition.cpp
+++ b/src/alarms/condition.cpp
@@ -108,7 +108,7 @@
         std::map<std::string, std::uint32_t> known; // replicas that serve or whose loss has a condition
         for (const auto &replica : facts_.replicas) {
             ++known[replica.model.str()];
-            if (replica.isServing) {
+            if (replica.isServing || replica.isPlannedStop) {
                 continue;
             }
             std::vector<std::string> missing;
--- a/src/alarms/fleet_facts.h
+++ b/src/alarms/fleet_facts.h
@@ -23,6 +23,7 @@
     ModelId model;
     FabricDomainId domain;
     bool isServing = false;
+    bool isPlannedStop = false; // an operator drains one of its VMs, which is no fault
     std::vector<VmId> missingVms; // members that are not seen
     double repairProgress = 0; // 0 to 1: part of the members that are seen and loaded, with partial loads
 };
--- a/src/config/config_loader.cpp
+++ b/src/config/config_loader.cpp
@@ -17,6 +17,7 @@
 std::vector<Id> toIds(const std::vector<std::string> &names)
 {
     std::vector<Id> ids;
+    ids.reserve(names.size());
     for (const auto &name : names) {
         ids.emplace_back(name);
     }
--- a/tests/alarms/alarm_book_test.cpp
+++ b/tests/alarms/alarm_book_test.cpp
@@ -174,7 +174,7 @@
 {
     for (const bool isRepeating : {false, true}) {
         BookDriver driver;
-        driver.facts.replicas = {{ReplicaId("r"), ModelId("m"), FabricDomainId("d"), false, {VmId("v")}, 0}};
+        driver.facts.replicas = {{ReplicaId("r"), ModelId("m"), FabricDomainId("d"), false, false, {VmId("v")}, 0}};
         for (int i = 0; i < 9; ++i) {
             driver.facts.replicas[0].repairProgress = isRepeating ? 0.1 * (i % 3) : 0.1 * i;
             driver.advance(minutes(20));
@@ -223,7 +223,7 @@
 TEST(AlarmBook, aHeldConditionWaitsForItsCause)
 {
     BookDriver driver;
-    driver.facts.replicas = {{ReplicaId("r"), ModelId("m"), FabricDomainId("d"), false, {VmId("v")}, 0}};
+    driver.facts.replicas = {{ReplicaId("r"), ModelId("m"), FabricDomainId("d"), false, false, {VmId("v")}, 0}};
     driver.facts.isPlatformReachable = false;
     driver.advance(hours(3));
     ASSERT_EQ(driver.book.active().size(), 1U);
@@ -237,4 +237,16 @@
     EXPECT_EQ(driver.book.active()[0].condition.detail, "missing: v");
 }
 
+// Guards against an alarm for a stop that an operator planned, and against none when it turns into a loss.
+TEST(AlarmBook, aPlannedStopIsNoFault)
+{
+    BookDriver driver;
+    driver.facts.replicas = {{ReplicaId("r"), ModelId("m"), FabricDomainId("d"), false, true, {VmId("v")}, 0}};
+    driver.advance(hours(5));
+    EXPECT_EQ(driver.raised, 0U);
+    driver.facts.replicas[0].isPlannedStop = false;
+    driver.advance(hours(1));
+    EXPECT_EQ(driver.raised, 1U);
+}
+
 }
--- a/tests/alarms/fleet_simulation.cpp
+++ b/tests/alarms/fleet_simulation.cpp
@@ -121,7 +121,8 @@
         if (!isRecorded[replica]) {
             continue;
         }
-        ReplicaFacts view{ReplicaId("r" + std::to_string(replica)), ModelId("m"), facts_.domains[replica * VmsPerReplica / VmsPerDomain].id, true, {}, 0};
+        ReplicaFacts view{
+            ReplicaId("r" + std::to_string(replica)), ModelId("m"), facts_.domains[replica * VmsPerReplica / VmsPerDomain].id, true, false, {}, 0};
         for (std::size_t vm = replica * VmsPerReplica; vm < (replica + 1) * VmsPerReplica; ++vm) {
             view.isServing = view.isServing && loaded[vm] >= 1;
             view.repairProgress += loaded[vm] / VmsPerReplica;
--- a/tests/config/config_loader_test.cpp
+++ b/tests/config/config_loader_test.cpp
@@ -2,6 +2,7 @@
 #include "config/config_loader.h"
 #include "config/config_schema.h"
 #include "config/process_settings.h"
+#include "core/random.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -120,6 +121,14 @@
     }
 }
 
+// Guards against comments that become part of a value.
+TEST(ConfigLoader, leavesCommentsOut)
+{
+    const auto loaded = loadConfig({std::string(Base) + "# a remark\n[customer d] ; a remark\nshare = 3 ; a remark\n", {{"north", Overlay}}});
+    ASSERT_THAT(faultTexts(loaded), testing::IsEmpty());
+    EXPECT_EQ(loaded.sites.at("north").findCustomer(CustomerId("d"))->share, 3);
+}
+
 // Guards against two sites that manage the same zone, and against a configuration without sites.
 TEST(ConfigLoader, checksSites)
 {
@@ -174,6 +183,42 @@
                                      "sites/north.ini:3 + ; more replicas for the fair", "sites/north.ini:4 + [model m]", "sites/north.ini:5 + replicas = 3"));
 }
 
+// Guards against a comparison that omits a line or states a wrong place: the differences must turn one text into the other.
+TEST(ConfigDifference, linesTurnOneTextIntoTheOther)
+{
+    RandomGenerator random(5);
+    for (int round = 0; round < 300; ++round) {
+        std::vector<std::string> texts[2];
+        for (auto &lines : texts) {
+            for (auto count = random() % 8; count > 0; --count) {
+                lines.emplace_back(1, static_cast<char>('a' + random() % 3));
+            }
+        }
+        const auto join = [](const std::vector<std::string> &lines) {
+            std::string text;
+            for (const auto &line : lines) {
+                text += line + "\n";
+            }
+            return text;
+        };
+        auto patched = texts[0];
+        const auto differences = compareLines({join(texts[0]), {}}, {join(texts[1]), {}});
+        for (auto it = differences.rbegin(); it != differences.rend(); ++it) {
+            if (!it->isAdded) {
+                ASSERT_EQ(patched.at(it->line - 1), it->text);
+                patched.erase(patched.begin() + it->line - 1);
+            }
+        }
+        for (const auto &difference : differences) {
+            if (difference.isAdded) {
+                ASSERT_LE(difference.line - 1, patched.size());
+                patched.insert(patched.begin() + difference.line - 1, difference.text);
+            }
+        }
+        ASSERT_EQ(patched, texts[1]) << "round " << round;
+    }
+}
+
 // Guards against examples that a newcomer copies and that do not load.
 TEST(ConfigLoader, loadsTheExamples)
 {
