Compose the control plane of the daemon

Connects membership, configuration, assignment, probes, alarms and the admin interface on the control thread. The front end starts with the first configuration, since its limits come from there. Replaces the one-time assignment of the first version.

--- /dev/null
+++ b/src/daemon/admin_api.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "daemon/admin_server.h"
+#include "daemon/control_plane.h"
+
+#include <functional>
+
+namespace carawaypoint
+{
+
+/// Registers the handlers of docs/interfaces.md, section "Operators". @p plane must outlive the server.
+/// @param startDrain starts the graceful shutdown of this daemon.
+void addAdminHandlers(AdminServer &server, ControlPlane &plane, const Clock &clock, std::function<void()> startDrain);
+
+}
--- /dev/null
+++ b/src/daemon/config_in_force.cpp
@@ -0,0 +1,65 @@
+#include "daemon/config_in_force.h"
+
+#include <cmath>
+#include <map>
+#include <tuple>
+
+namespace carawaypoint
+{
+
+std::string ConfigInForce::apply(std::string_view documents, std::uint64_t generation)
+{
+    std::string fault;
+    const auto parsed = parseConfigDocuments(documents, fault);
+    if (!parsed) {
+        return fault;
+    }
+    LoadedConfig loaded = loadConfig(*parsed);
+    if (!loaded.faults.empty()) {
+        return loaded.faults.front().toString();
+    }
+    const auto found = loaded.sites.find(site_);
+    if (found == loaded.sites.end()) {
+        return "the configuration has no site " + site_;
+    }
+    config_ = std::move(found->second);
+    generation_ = generation;
+    return {};
+}
+
+AssignmentSettings toAssignmentSettings(const EffectiveConfig &config)
+{
+    AssignmentSettings settings;
+    double loadsPerMinute = 0;
+    for (const auto &model : config.models) {
+        settings.models.push_back({model.id, model.version, model.adapters, model.pool, model.vmsPerReplica, model.replicas});
+    }
+    for (const auto &pool : config.pools) {
+        settings.enginesCheckFencing[pool.name] = pool.engineChecksFencing;
+        loadsPerMinute += pool.loadsPerMinute;
+    }
+    settings.strategy = config.repair.strategy;
+    // A load is taken to last about a minute, so that so many at once keep to the rate.
+    settings.loadsAtOnce = std::max(1U, static_cast<std::uint32_t>(std::lround(loadsPerMinute)));
+    settings.leaseDuration = config.repair.leaseTime;
+    settings.renewPeriod = config.repair.leaseRenewal;
+    settings.maxOrderLifetime = config.repair.orderLifetime;
+    return settings;
+}
+
+std::vector<DomainSize> domainSizes(std::span<const VmRecord> vms)
+{
+    std::map<std::tuple<ZoneId, FabricDomainId, std::string>, std::uint32_t> counts;
+    for (const auto &vm : vms) {
+        if (!vm.domain.isEmpty()) {
+            ++counts[{vm.zone, vm.domain, vm.pool}];
+        }
+    }
+    std::vector<DomainSize> sizes;
+    for (const auto &[key, count] : counts) {
+        sizes.push_back({std::get<0>(key), std::get<2>(key), count});
+    }
+    return sizes;
+}
+
+}
--- /dev/null
+++ b/src/daemon/control_plane.cpp
@@ -0,0 +1,402 @@
+#include "daemon/control_plane.h"
+
+#include "daemon/admin_bodies.h"
+#include "daemon/observation_exchange.h"
+#include "daemon/snapshot_builder.h"
+#include "idempotency/claim_store.h"
+#include "membership/rendezvous.h"
+#include "observe/log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+constexpr Duration VmListPeriod = seconds(2);
+constexpr Duration ControlTick = milliseconds(100);
+constexpr Duration SlowTick = seconds(1);
+constexpr Duration AssignmentTick = milliseconds(200);
+constexpr Duration ProbePeriod = milliseconds(500);
+constexpr Duration UnseenAfter = milliseconds(1500); // three probes without an answer
+constexpr Duration LeavingMemory = minutes(1); // the platform's list shows a leaving VM by then
+constexpr Duration LeaveNotice = milliseconds(300); // for the news that this daemon leaves
+
+RelinquishOutcome toOutcome(RelinquishResult result)
+{
+    return result == RelinquishResult::Relinquished ? RelinquishOutcome::Relinquished : RelinquishOutcome::Dispatched;
+}
+
+}
+
+ControlPlane::ControlPlane(boost::asio::io_context &control,
+                           const ProcessSettings &settings,
+                           const Clock &clock,
+                           Dispatcher &dispatcher,
+                           std::uint64_t process,
+                           Hooks hooks)
+    : control_(control)
+    , settings_(settings)
+    , clock_(clock)
+    , dispatcher_(dispatcher)
+    , process_(process)
+    , hooks_(std::move(hooks))
+    , store_(HttpObjectStore::Builder(control.get_executor(), settings.platform).build())
+    , engines_(HttpEngineClient::Builder(control.get_executor(), clock).build())
+    , configuration_(control.get_executor(), clock, *store_, {settings.id.str() + "/" + std::to_string(process)})
+    , membership_(control.get_executor(), clock, *store_, configuration_, membershipOptions(), membershipCallbacks())
+    , peers_(control.get_executor(), {}, membership_, process)
+    , formerControllers_(peers_)
+    , claimPeers_(peers_, [this](const MemberId &id) { return findMember(id); })
+    , config_(settings.site)
+    , vmTimer_(control)
+    , controlTimer_(control)
+    , slowTimer_(control)
+    , stopTimer_(control)
+{
+    const ControllerRef self{settings.id, settings.peer, process, 0};
+    controller_ = Controller::Builder(control.get_executor(), settings.zone, self, {store_.get(), engines_.get(), &formerControllers_, &clock}).build();
+    prober_ = EngineProber::Builder(*engines_, clock)
+                  .period(ProbePeriod)
+                  .seed(process)
+                  .recordOf([this](const VmId &vm) { return recordOf(vm); })
+                  .onReport([this](const EngineReport &report) { handleReport(report); })
+                  .build();
+}
+
+ControlPlane::~ControlPlane()
+{
+    peers_.stop();
+}
+
+MembershipAgentOptions ControlPlane::membershipOptions() const
+{
+    MembershipAgentOptions options;
+    options.self.id = settings_.id;
+    options.self.zone = settings_.zone;
+    options.self.address = settings_.peer;
+    options.self.process = process_;
+    options.seeds = settings_.seeds;
+    options.randomSeed = process_;
+    return options;
+}
+
+MembershipCallbacks ControlPlane::membershipCallbacks()
+{
+    MembershipCallbacks callbacks;
+    callbacks.onSignal = [this](const PeerSignal &signal) {
+        handlePeerSignal(signal);
+    };
+    callbacks.onRelinquishClaim = [this](const std::string &service, const std::string &key, const std::string &token,
+                                         std::function<void(RelinquishOutcome)> answer) {
+        hooks_.withClaims([this, service, key, token, answer = std::move(answer)](ClaimStore &claims) {
+            answer(toOutcome(claims.relinquish({ServiceId(service), key, token, {settings_.id, process_}})));
+        });
+    };
+    callbacks.onConfirmNoOrdersInFlight = [this](const DomainKey &domain, std::uint64_t epoch, const std::function<void(bool)> &answer) {
+        answer(controller_->answerConfirmation(domain, epoch, process_) == FormerControllerReply::NoOrdersInFlight);
+    };
+    return callbacks;
+}
+
+std::error_code ControlPlane::start()
+{
+    configuration_.setChangeHandler([this](const ConfigurationText &text) { applyConfiguration(text); });
+    configuration_.setRevisionHandler([this](std::uint64_t revision) { membership_.table().notePlatformRevision(revision); });
+    if (const std::error_code error = peers_.start(settings_.peer); error) {
+        return error;
+    }
+    membership_.start(peers_);
+    controller_->start(AssignmentTick);
+    lastTick_ = clock_.now();
+    fetchVmList();
+    controlTick();
+    slowTick();
+    return {};
+}
+
+void ControlPlane::stop(std::function<void()> done)
+{
+    controller_->stop([this, done = std::move(done)] {
+        membership_.leave();
+        stopTimer_.expires_after(LeaveNotice);
+        stopTimer_.async_wait([done](const boost::system::error_code &) { done(); });
+    });
+}
+
+void ControlPlane::repeat(boost::asio::steady_timer &timer, Duration period, void (ControlPlane::*step)())
+{
+    timer.expires_after(period);
+    timer.async_wait([this, step](const boost::system::error_code &error) {
+        if (!error) {
+            (this->*step)();
+        }
+    });
+}
+
+void ControlPlane::fetchVmList()
+{
+    store_->listVms([this](std::error_code error, std::vector<VmRecord> vms) {
+        isPlatformReachable_ = !error;
+        if (!error) {
+            vms_ = std::move(vms);
+            controller_->setInventory(vms_);
+        }
+        repeat(vmTimer_, VmListPeriod, &ControlPlane::fetchVmList);
+    });
+}
+
+void ControlPlane::controlTick()
+{
+    const TimePoint now = clock_.now();
+    if (now - lastTick_ > SlowTick * 3 || membership_.table().pauseCount() != pauseCount_) {
+        // Nothing that was believed before a pause may be acted on.
+        pauseCount_ = membership_.table().pauseCount();
+        logLine(LogLevel::Warning, "process was paused; all observations are stale", {{"ms", (now - lastTick_) / milliseconds(1)}});
+        controller_->handlePause();
+        probed_.clear();
+    }
+    lastTick_ = now;
+    records_ = controller_->records();
+    recordByVm_.clear();
+    for (const auto &record : records_) {
+        for (const auto &vm : record.vms) {
+            recordByVm_[vm.id] = &record;
+        }
+    }
+    prober_->tick();
+    publishOwnObservations(now);
+    takePeerObservations(now);
+    publishSnapshot(now);
+    repeat(controlTimer_, ControlTick, &ControlPlane::controlTick);
+}
+
+void ControlPlane::slowTick()
+{
+    const TimePoint now = clock_.now();
+    std::erase_if(leavingUntil_, [now](const auto &entry) { return entry.second <= now; });
+    applyRoles();
+    exchangeDemand();
+    exchangeClaimState();
+    updateAlarms(now);
+    updateMetrics();
+    repeat(slowTimer_, SlowTick, &ControlPlane::slowTick);
+}
+
+void ControlPlane::applyConfiguration(const ConfigurationText &text)
+{
+    const bool isFirst = config_.config() == nullptr;
+    const std::string fault = config_.apply(text.text, text.generation);
+    if (!fault.empty()) {
+        logLine(LogLevel::Error, "configuration cannot be put in force", {{"generation", text.generation}, {"fault", fault}});
+        return;
+    }
+    logDecision("configuration", settings_.id.str(), std::to_string(text.generation), "higher than the generation in force");
+    controller_->setSettings(toAssignmentSettings(*config_.config()));
+    alarms_.setTimes(toAlarmTimes(config_.config()->alarms));
+    publishSnapshot(clock_.now());
+    if (isFirst && hooks_.onFirstConfig) {
+        hooks_.onFirstConfig(*config_.config());
+    }
+}
+
+void ControlPlane::applyRoles()
+{
+    const TimePoint now = clock_.now();
+    MemberTable &table = membership_.table();
+    configuration_.setWatcher(table.isWatcher(now));
+    // Records do not travel between daemons yet, so that every daemon follows them on the platform.
+    controller_->setWatcher(true);
+    std::vector<MemberId> live;
+    for (const auto &member : members()) {
+        if (member.zone == settings_.zone && member.status == MemberStatus::Alive) {
+            live.push_back(member.id);
+        }
+    }
+    controller_->setLiveMembers(std::move(live));
+    std::vector<VmRecord> engines;
+    std::set<VmId> wanted;
+    for (const auto &vm : vms_) {
+        const bool isOwnZone = vm.zone == settings_.zone && !vm.domain.isEmpty();
+        // The holder of a domain's lease decides by read-backs of its own.
+        if (isOwnZone && (table.isProberOf(vm.id, now) || controller_->holdsLease({vm.zone, vm.domain}))) {
+            engines.push_back(vm);
+            wanted.insert(vm.id);
+        }
+    }
+    for (const auto &vm : probedSet_) {
+        if (!wanted.contains(vm)) {
+            table.removeObservation(vm, now);
+            probed_.erase(vm);
+        }
+    }
+    probedSet_ = std::move(wanted);
+    prober_->setEngines(engines);
+}
+
+void ControlPlane::handleReport(const EngineReport &report)
+{
+    controller_->observe(report.vm, report.observation);
+    probed_[report.vm] = {report.observation.seenAt, report.observation.state};
+    membership_.setObservation(report.vm, toServerState(report.observation.state, true));
+}
+
+void ControlPlane::publishOwnObservations(TimePoint now)
+{
+    TimePoint oldestSeen = now;
+    for (const auto &[vm, engine] : probed_) {
+        if (now - engine.seenAt > UnseenAfter) {
+            membership_.setObservation(vm, toServerState(engine.state, false));
+        } else {
+            oldestSeen = std::min(oldestSeen, engine.seenAt);
+        }
+    }
+    membership_.table().markProbed(oldestSeen);
+}
+
+void ControlPlane::takePeerObservations(TimePoint now)
+{
+    for (const auto &observed : membership_.table().observations(now)) {
+        const DomainRecord *record = recordOf(observed.vm);
+        const auto own = probed_.find(observed.vm);
+        const bool isOwnNewer = own != probed_.end() && own->second.seenAt >= observed.lastSeen;
+        if (record != nullptr && observed.lastSeen != TimePoint{} && !isOwnNewer) {
+            controller_->observe(observed.vm, toVmObservation(observed.vm, observed.state, observed.lastSeen, *record));
+        }
+    }
+}
+
+void ControlPlane::publishSnapshot(TimePoint now)
+{
+    MemberTable &table = membership_.table();
+    SnapshotInputs inputs;
+    inputs.config = config_.config();
+    inputs.generation = config_.generation();
+    inputs.zone = settings_.zone;
+    inputs.replicas = controller_->replicaViews();
+    inputs.vms = vms_;
+    for (const auto &[vm, until] : leavingUntil_) {
+        inputs.leavingVms.insert(vm);
+    }
+    const auto all = members();
+    inputs.liveDaemonsInZone = static_cast<std::uint32_t>(std::count_if(
+        all.begin(), all.end(), [this](const MemberRecord &member) { return member.zone == settings_.zone && member.status == MemberStatus::Alive; }));
+    inputs.isPeerExchangeFresh = table.isPeerExchangeFresh(now);
+    inputs.isPlatformReachable = isPlatformReachable_;
+    const auto valueOf = [](const std::map<std::uint32_t, std::uint32_t> &counts, std::string_view id) {
+        const auto found = counts.find(keyHash(id));
+        return found == counts.end() ? 0U : found->second;
+    };
+    inputs.peerDemand = [valueOf, counts = table.peerDemand()](const CustomerId &id) {
+        return valueOf(counts, id.str());
+    };
+    inputs.peerInFlight = [valueOf, counts = table.peerInFlight()](const ReplicaId &id) {
+        return valueOf(counts, id.str());
+    };
+    const RoutingSnapshotPtr built = buildRoutingSnapshot(inputs, now);
+    {
+        const std::scoped_lock lock(snapshotMutex_);
+        snapshot_ = built;
+    }
+    dispatcher_.setSnapshot(built);
+    isReady_ = membership_.isReady() && config_.config() != nullptr;
+}
+
+RoutingSnapshotPtr ControlPlane::snapshot() const
+{
+    const std::scoped_lock lock(snapshotMutex_);
+    return snapshot_;
+}
+
+void ControlPlane::exchangeDemand()
+{
+    const auto toCounts = [](const auto &values) {
+        std::vector<KeyCount> counts;
+        for (const auto &[id, count] : values) {
+            counts.push_back({keyHash(id.str()), static_cast<std::uint16_t>(std::min<double>(static_cast<double>(count), 65'535))});
+        }
+        return counts;
+    };
+    const Dispatcher::Demand demand = dispatcher_.demand();
+    membership_.table().setDemand(toCounts(demand.customers), toCounts(demand.inFlight));
+    for (const std::uint64_t fingerprint : dispatcher_.takeCrashSuspects()) {
+        constexpr std::uint64_t WholeWeight = 1000; // thousandths
+        membership_.reportCrashSuspect(std::to_string(fingerprint), WholeWeight);
+    }
+}
+
+void ControlPlane::exchangeClaimState()
+{
+    const std::uint64_t revision = membership_.table().highestPlatformRevision();
+    hooks_.withClaims([revision](ClaimStore &claims) { claims.observeRevision(revision); });
+}
+
+void ControlPlane::handlePeerSignal(const PeerSignal &signal)
+{
+    if (signal.kind == PeerSignal::Kind::Leaving) {
+        noteLeaving(VmId(signal.subject));
+        return;
+    }
+    dispatcher_.addPeerCrashSuspect(std::strtoull(signal.subject.c_str(), nullptr, 10));
+}
+
+void ControlPlane::noteServerSignal(const ServerSignal &signal)
+{
+    boost::asio::post(control_, [this, signal] {
+        const VmRecord *vm = vmAt(signal.server);
+        if (vm == nullptr) {
+            return;
+        }
+        if (signal.kind == ServerSignal::Kind::Draining || signal.kind == ServerSignal::Kind::Leaving) {
+            markLeaving(vm->id);
+        } else if (!vm->domain.isEmpty()) {
+            prober_->hurry(vm->id);
+        }
+    });
+}
+
+void ControlPlane::noteLeaving(const VmId &vm)
+{
+    leavingUntil_[vm] = clock_.now() + LeavingMemory;
+    const auto found = std::find_if(vms_.begin(), vms_.end(), [&vm](const VmRecord &record) { return record.id == vm; });
+    if (found != vms_.end() && found->zone == settings_.zone && !found->domain.isEmpty()) {
+        // Every daemon of the zone notes it, so that whoever holds the domain's lease acts on it.
+        controller_->drainVm(vm);
+    }
+    publishSnapshot(clock_.now());
+}
+
+void ControlPlane::markLeaving(const VmId &vm)
+{
+    if (!leavingUntil_.contains(vm)) {
+        membership_.reportLeaving(vm);
+        noteLeaving(vm);
+    }
+}
+
+bool ControlPlane::drainVm(const VmId &vm)
+{
+    const bool isListed = std::any_of(vms_.begin(), vms_.end(), [&vm](const VmRecord &record) { return record.id == vm; });
+    if (isListed) {
+        markLeaving(vm);
+    }
+    return isListed;
+}
+
+const VmRecord *ControlPlane::vmAt(const Endpoint &address) const
+{
+    const auto found = std::find_if(vms_.begin(), vms_.end(), [&address](const VmRecord &vm) { return vm.address == address; });
+    return found == vms_.end() ? nullptr : &*found;
+}
+
+const DomainRecord *ControlPlane::recordOf(const VmId &vm) const
+{
+    const auto found = recordByVm_.find(vm);
+    return found == recordByVm_.end() ? nullptr : found->second;
+}
+
+}
--- /dev/null
+++ b/src/daemon/control_plane_views.cpp
@@ -0,0 +1,106 @@
+// What the control plane shows to operators, alarms and metrics.
+
+#include "daemon/admin_bodies.h"
+#include "daemon/control_plane.h"
+#include "daemon/fact_collector.h"
+#include "observe/log.h"
+#include "observe/metrics.h"
+
+namespace carawaypoint
+{
+
+std::vector<MemberRecord> ControlPlane::members()
+{
+    return membership_.table().members().all();
+}
+
+std::optional<MemberRecord> ControlPlane::findMember(const MemberId &id)
+{
+    return membership_.table().members().find(id);
+}
+
+DaemonStatus ControlPlane::status()
+{
+    DaemonStatus status;
+    status.daemon = settings_.id;
+    status.zone = settings_.zone;
+    status.isReady = isReady_;
+    status.isPlatformReachable = isPlatformReachable_;
+    status.generation = config_.generation();
+    status.members = members();
+    status.assignment = controller_->status();
+    status.replicas = controller_->replicaViews();
+    status.vms = vms_;
+    status.now = clock_.now();
+    status.observationBound = config_.config() == nullptr ? RoutingPolicy().observationBound : config_.config()->routing.observationBound;
+    return status;
+}
+
+std::vector<MemberGeneration> ControlPlane::memberGenerations()
+{
+    const ClockPair clocks{clock_.now(), std::chrono::system_clock::now()};
+    std::map<MemberId, TimePoint> since;
+    for (const auto &known : configuration_.tracker().memberStatus()) {
+        since[known.member] = known.since;
+    }
+    std::vector<MemberGeneration> generations;
+    for (auto &member : members()) {
+        const auto found = since.find(member.id);
+        generations.push_back({std::move(member), found == since.end() ? std::string() : clocks.format(found->second)});
+    }
+    return generations;
+}
+
+void ControlPlane::updateAlarms(TimePoint now)
+{
+    const AssignmentStatus assignment = controller_->status();
+    const std::vector<ReplicaView> replicas = controller_->replicaViews();
+    const std::vector<MemberRecord> all = members();
+    FactInputs inputs;
+    inputs.config = config_.config();
+    inputs.zone = settings_.zone;
+    inputs.vms = vms_;
+    inputs.replicas = replicas;
+    inputs.assignment = &assignment;
+    inputs.members = all;
+    inputs.newestGeneration = configuration_.tracker().generation();
+    inputs.isViewFresh = isReady_;
+    inputs.isPlatformReachable = isPlatformReachable_;
+    inputs.observationBound = inputs.config == nullptr ? RoutingPolicy().observationBound : inputs.config->routing.observationBound;
+    const AlarmBook::Changes changes = alarms_.update(collectFacts(inputs, now));
+    // All daemons of a zone see the same conditions; one of them reports, so that one cause rings once.
+    if (!membership_.table().isOldestInZone(now)) {
+        return;
+    }
+    for (const auto &alarm : changes.raised) {
+        logDecision("alarm", alarm.condition.subject, "raised " + alarm.condition.cause(), alarm.condition.detail);
+    }
+    for (const auto &alarm : changes.cleared) {
+        logDecision("alarm", alarm.condition.subject, "cleared " + alarm.condition.cause(), "the condition is gone");
+    }
+}
+
+void ControlPlane::updateMetrics()
+{
+    MetricsRegistry &metrics = metricsRegistry();
+    const DaemonStatus present = status();
+    std::map<std::string, double> replicas;
+    for (const auto &replica : present.assignment.replicas) {
+        ++replicas[replica.state];
+    }
+    for (const char *state : {"whole", "loading", "incomplete", "draining"}) {
+        metrics.set(GaugeMetric::Replicas, state, replicas[state]);
+    }
+    for (const auto &domain : present.assignment.domains) {
+        metrics.set(GaugeMetric::StrandedAccelerators, domain.key.objectName(), domain.stranded);
+    }
+    double live = 0;
+    for (const auto &member : present.members) {
+        live += isLiveStatus(member.status) ? 1 : 0;
+    }
+    metrics.set(GaugeMetric::Members, "live", live);
+    metrics.set(GaugeMetric::ConfigGeneration, {}, static_cast<double>(present.generation));
+    metrics.set(GaugeMetric::ActiveAlarms, {}, static_cast<double>(alarms_.active().size()));
+}
+
+}
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,10 +1,10 @@
 #include "daemon/daemon.h"
 
-#include "daemon/initial_assignment.h"
-#include "engine/http_engine_client.h"
+#include "daemon/admin_api.h"
+#include "daemon/control_plane.h"
+#include "daemon/serving_metrics_adapter.h"
+#include "idempotency/claim_store.h"
 #include "observe/log.h"
-#include "platform/http_object_store.h"
-#include "routing/dispatcher.h"
 #include "serving/http_front_end.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,9 +12,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <map>
-#include <mutex>
-#include <random>
+#include <chrono>
 
 namespace carawaypoint
 {
@@ -24,10 +22,13 @@
 namespace
 {
 
-constexpr Duration ProbePeriod = milliseconds(250);
-constexpr Duration VmListPeriod = seconds(2);
 constexpr Duration DispatchTick = milliseconds(10);
-constexpr std::size_t VmsPerReplica = 4;
+
+/// Later starts have larger incarnations, as long as the machine's wall clock does not go back by more than a restart takes.
+std::uint64_t makeProcessIncarnation()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
 
 }
 
@@ -36,165 +37,160 @@
 public:
     explicit Impl(ProcessSettings settings)
         : settings_(std::move(settings))
-        , store_(HttpObjectStore::Builder(control_.get_executor(), settings_.platform).build())
-        , engines_(HttpEngineClient::Builder(control_.get_executor(), clock_).build())
-        , assignment_(*store_, *engines_, settings_.zone, ModelId("assistant"), VmsPerReplica)
-        , incarnation_(std::random_device{}())
-        , dispatcher_(makeDispatcher(clock_, incarnation_))
-        , probeTimer_(control_)
-        , listTimer_(control_)
+        , process_(makeProcessIncarnation())
+        , dispatcher_(makeDispatcher(clock_, process_))
+        , metrics_(metricsRegistry())
+        , admin_(control_.get_executor())
+        , plane_(control_, settings_, clock_, *dispatcher_, process_, planeHooks())
         , dispatchTimer_(control_)
+        , drainTimer_(control_)
         , signals_(control_, SIGINT, SIGTERM)
     {
     }
 
     int run()
     {
-        FrontEndDependencies dependencies;
-        dependencies.dispatcher = dispatcher_.get();
-        dependencies.snapshot = [this] {
-            const std::scoped_lock lock(snapshotMutex_);
-            return snapshot_;
-        };
-        dependencies.clock = &clock_;
-        dependencies.processIncarnation = incarnation_;
-        FrontEndSettings frontEndSettings;
-        frontEndSettings.threads = settings_.trafficThreads;
-        frontEnd_ = HttpFrontEndBuilder().dependencies(dependencies).settings(frontEndSettings).listenOn(settings_.http).build();
-        if (const auto error = frontEnd_->start(); error) {
-            logLine(LogLevel::Error, "cannot listen", {{"address", settings_.http.toString()}, {"error", error.message()}});
+        addAdminHandlers(admin_, plane_, clock_, [this] { startDrain(); });
+        if (!started("admin", settings_.admin, admin_.start(settings_.admin)) || !started("peer", settings_.peer, plane_.start())) {
             return 1;
         }
-        logLine(LogLevel::Info, "daemon started", {{"http", settings_.http.toString()}, {"zone", settings_.zone.str()}});
-        signals_.async_wait(
-            [this](const boost::system::error_code &, int) { frontEnd_->drain([this] { asio::post(control_, [this] { control_.stop(); }); }); });
-        fetchVmList();
-        probe();
+        logLine(LogLevel::Info, "daemon started", {{"zone", settings_.zone.str()}, {"process", process_}, {"admin", settings_.admin.toString()}});
+        signals_.async_wait([this](const boost::system::error_code &error, int) {
+            if (!error) {
+                startDrain();
+            }
+        });
         tickDispatcher();
         control_.run();
-        frontEnd_->stop();
+        if (frontEnd_) {
+            frontEnd_->stop();
+        }
+        admin_.stop();
         logLine(LogLevel::Info, "daemon stopped");
-        return 0;
+        stopLog();
+        return exitCode_;
     }
 
 private:
-    void repeat(asio::steady_timer &timer, Duration period, void (Impl::*step)())
+    bool started(std::string_view what, const Endpoint &endpoint, std::error_code error)
     {
-        timer.expires_after(period);
-        timer.async_wait([this, step](const boost::system::error_code &error) {
-            if (!error) {
-                (this->*step)();
-            }
-        });
+        if (error) {
+            logLine(LogLevel::Error, "cannot listen", {{"what", what}, {"address", endpoint.toString()}, {"error", error.message()}});
+        }
+        return !error;
     }
 
-    void fetchVmList()
+    ControlPlane::Hooks planeHooks()
     {
-        store_->listVms([this](std::error_code error, std::vector<VmRecord> vms) {
-            if (!error) {
-                vms_ = std::move(vms);
-                assignment_.assign(vms_);
+        ControlPlane::Hooks hooks;
+        hooks.onFirstConfig = [this](const EffectiveConfig &config) {
+            startFrontEnd(config);
+        };
+        hooks.withClaims = [this](std::function<void(ClaimStore &)> action) {
+            if (frontEnd_) {
+                frontEnd_->withClaims(std::move(action));
             }
-            repeat(listTimer_, VmListPeriod, &Impl::fetchVmList);
-        });
+        };
+        return hooks;
     }
 
-    void probe()
+    FrontEndDependencies frontEndDependencies()
     {
-        for (const auto &vm : vms_) {
-            if (vm.domain.isEmpty()) {
-                continue;
-            }
-            engines_->fetchState(vm.address, [this, vm](std::error_code error, EngineState state) {
-                if (!error) {
-                    observed_[vm.id] = {vm, std::move(state), clock_.now()};
-                }
-            });
+        FrontEndDependencies dependencies;
+        dependencies.dispatcher = dispatcher_.get();
+        dependencies.snapshot = [this] {
+            return plane_.snapshot();
+        };
+        dependencies.clock = &clock_;
+        dependencies.processIncarnation = process_;
+        dependencies.isReady = [this] {
+            return plane_.isReady();
+        };
+        dependencies.onServerSignal = [this](const ServerSignal &signal) {
+            plane_.noteServerSignal(signal);
+        };
+        dependencies.metrics = &metrics_;
+        dependencies.claimObjects = &plane_.store();
+        dependencies.peerClaims = &plane_.peerClaims();
+        dependencies.postToClaims = [this](std::function<void()> action) {
+            asio::post(control_, std::move(action));
+        };
+        dependencies.self = settings_.id;
+        return dependencies;
+    }
+
+    /// Limits of the first configuration hold until the process ends.
+    void startFrontEnd(const EffectiveConfig &config)
+    {
+        FrontEndSettings settings;
+        settings.threads = settings_.trafficThreads;
+        settings.maxBodyBytes = config.limits.maxBodyBytes;
+        settings.maxConnectionsPerThread = std::max(1U, config.limits.maxConnections / std::max(1U, settings_.trafficThreads));
+        settings.interTokenTimeout = config.limits.tokenTimeout;
+        drainTime_ = config.limits.drainTime;
+        ClaimStoreSettings claims;
+        claims.keys.retention = config.limits.claimRetention;
+        frontEnd_ = HttpFrontEndBuilder().dependencies(frontEndDependencies()).settings(settings).claimSettings(claims).listenOn(settings_.http).build();
+        if (!started("http", settings_.http, frontEnd_->start())) {
+            exitCode_ = 1;
+            control_.stop();
         }
-        publishSnapshot();
-        repeat(probeTimer_, ProbePeriod, &Impl::probe);
     }
 
     void tickDispatcher()
     {
         dispatcher_->tick();
-        repeat(dispatchTimer_, DispatchTick, &Impl::tickDispatcher);
+        dispatchTimer_.expires_after(DispatchTick);
+        dispatchTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                tickDispatcher();
+            }
+        });
     }
 
-    void publishSnapshot()
+    void startDrain()
     {
-        auto snapshot = std::make_shared<RoutingSnapshot>();
-        snapshot->generation = 1;
-        snapshot->builtAt = clock_.now();
-        snapshot->zone = settings_.zone;
-        std::map<ReplicaId, ReplicaView> replicas;
-        for (const auto &[id, observed] : observed_) {
-            addMember(replicas[observed.state.replica], observed);
-        }
-        for (auto &[id, replica] : replicas) {
-            if (!id.isEmpty()) {
-                snapshot->replicas.push_back(std::move(replica));
-            }
+        if (std::exchange(isDraining_, true)) {
+            return;
         }
-        for (int number = 1; number <= 10; ++number) {
-            snapshot->customers.push_back({CustomerId("customer-" + std::to_string(number))});
+        logLine(LogLevel::Info, "graceful shutdown started", {{"requests_in_progress", frontEnd_ ? frontEnd_->requestsInProgress() : 0}});
+        if (!frontEnd_) {
+            finish();
+            return;
         }
-        ModelView model;
-        model.id = ModelId("assistant");
-        model.version = "1";
-        model.slotsPerReplica = 8;
-        model.maxPromptTokens = 32'000;
-        model.maxOutputTokens = 32'000;
-        model.firstTokenDeadline = seconds(10);
-        snapshot->models.push_back(model);
-        {
-            const std::scoped_lock lock(snapshotMutex_);
-            snapshot_ = snapshot;
-        }
-        dispatcher_->setSnapshot(snapshot);
+        frontEnd_->drain([this] { asio::post(control_, [this] { finish(); }); });
+        drainTimer_.expires_after(drainTime_);
+        drainTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                logLine(LogLevel::Warning, "drain time is over; streams are cut", {{"requests_in_progress", frontEnd_->requestsInProgress()}});
+                finish();
+            }
+        });
     }
 
-    struct Observed {
-        VmRecord vm;
-        EngineState state;
-        TimePoint at;
-    };
-
-    static void addMember(ReplicaView &replica, const Observed &observed)
+    void finish()
     {
-        const auto &state = observed.state;
-        replica.id = state.replica;
-        replica.incarnation = state.fence.incarnation;
-        replica.model = state.model;
-        replica.version = state.version;
-        replica.zone = observed.vm.zone;
-        replica.domain = observed.vm.domain;
-        replica.expectedMembers = VmsPerReplica;
-        replica.members.push_back({observed.vm.id, observed.vm.address, observed.at, state.isLoaded, state.isDraining || observed.vm.isLeaving});
-        if (state.role == EngineRole::Leader) {
-            replica.leader = observed.vm.address;
-            replica.slots = state.slots;
-            replica.load = state.load;
+        if (!std::exchange(isFinishing_, true)) {
+            plane_.stop([this] { control_.stop(); });
         }
     }
 
     ProcessSettings settings_;
     SteadyClock clock_;
     asio::io_context control_{1};
-    std::unique_ptr<HttpObjectStore> store_;
-    std::unique_ptr<HttpEngineClient> engines_;
-    InitialAssignment assignment_;
-    std::uint64_t incarnation_;
+    std::uint64_t process_;
     std::unique_ptr<Dispatcher> dispatcher_;
+    ServingMetricsAdapter metrics_;
+    AdminServer admin_;
     std::unique_ptr<HttpFrontEnd> frontEnd_;
-    asio::steady_timer probeTimer_;
-    asio::steady_timer listTimer_;
+    ControlPlane plane_;
     asio::steady_timer dispatchTimer_;
+    asio::steady_timer drainTimer_;
     asio::signal_set signals_;
-    std::vector<VmRecord> vms_;
-    std::map<VmId, Observed> observed_;
-    std::mutex snapshotMutex_;
-    RoutingSnapshotPtr snapshot_;
+    Duration drainTime_{};
+    bool isDraining_ = false;
+    bool isFinishing_ = false;
+    int exitCode_ = 0;
 };
 
 Daemon::Daemon(ProcessSettings settings)
