Add the configuration agent, the generation tracker and the membership agent

Cause: an accepted configuration has to be in force everywhere within seconds and never to revert. Change: GenerationTracker (pure), ConfigurationAgent (watch, fetch from peers, conditional proposals with a writer token, write-back after a restore), MembershipAgent (timers, peer calls, signals, zone list), a minimal fake of the object store. Ruled out: deciding a lost proposal by its generation alone, since another operator's write can have that generation.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -40,6 +40,11 @@
     if (now - lastTickAt_ <= options_.period * options_.pausePeriods) {
         return;
     }
+    notePause(now);
+}
+
+void MemberTable::notePause(TimePoint now)
+{
     lastTickAt_ = now;
     failuresCountFrom_ = now + options_.period;
     ++pauseCount_;
@@ -139,9 +144,8 @@
     std::vector<Endpoint> unused;
     const auto members = list_.all();
     for (const auto &seed : seeds_) {
-        const bool isUsed = std::any_of(members.begin(), members.end(), [&](const auto &record) {
-            return isLiveStatus(record.status) && record.address == seed;
-        });
+        const bool isUsed =
+            std::any_of(members.begin(), members.end(), [&](const auto &record) { return isLiveStatus(record.status) && record.address == seed; });
         if (!isUsed) {
             unused.push_back(seed);
         }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -97,6 +97,8 @@
 
     /// Whether this member has exchanged state since its start or its last pause.
     bool isCurrent(TimePoint now);
+    /// This process was paused in a way that the clock does not show, for example with its VM.
+    void notePause(TimePoint now);
     /// Roles are held only while isCurrent().
     bool isProberOf(const VmId &vm, TimePoint now);
     bool isWatcher(TimePoint now);
--- a/src/membership/member_table_state.cpp
+++ b/src/membership/member_table_state.cpp
@@ -1,6 +1,5 @@
 // Feeds of local state and sums over peers, separate from the exchange in member_table.cpp.
 #include "membership/member_table.h"
-
 #include "membership/rendezvous.h"
 
 #include <algorithm>
--- /dev/null
+++ b/src/membership/membership_agent.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "membership/configuration_agent.h"
+#include "membership/member_table.h"
+#include "membership/peer_calls.h"
+#include "platform/object_store.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace carawaypoint
+{
+
+struct MembershipAgentOptions {
+    MemberTableOptions table;
+    MemberRecord self;
+    std::vector<Endpoint> seeds; // from the settings
+    Duration seedInterval = seconds(30); // between looks at the platform's list `members/<zone>`
+    std::uint64_t randomSeed = 0;
+};
+
+/// What the daemon wants to be told or asked. All run on the control thread; empty ones are left out.
+struct MembershipCallbacks {
+    std::function<void()> onChange; // members, roles or observations changed; at most once per tick
+    std::function<void(const PeerSignal &)> onSignal;
+    std::function<void(std::string service, std::string key, std::string token, std::function<void(RelinquishOutcome)>)> onRelinquishClaim;
+    std::function<void(DomainKey, std::uint64_t epoch, std::function<void(bool)>)> onConfirmNoOrdersInFlight;
+};
+
+/// Drives the member table with timers and peer calls, on the control thread.
+///
+/// Order of construction: agent, PeerService with the agent as its handler, start(). Stop the service before the agent is
+/// destroyed.
+class MembershipAgent : public PeerRequestHandler
+{
+public:
+    MembershipAgent(boost::asio::any_io_executor control,
+                    const Clock &clock,
+                    ObjectStore &store,
+                    ConfigurationAgent &configuration,
+                    MembershipAgentOptions options,
+                    MembershipCallbacks callbacks);
+    ~MembershipAgent() override;
+
+    void start(PeerCalls &calls);
+    /// Announces to peers that this daemon stops; call it some hundred milliseconds before the service stops.
+    void leave();
+
+    /// Members, roles, observations, demand, feeds; see its own documentation. Urgent feeds are sent with the next turn of
+    /// the control thread.
+    MemberTable &table();
+    /// Whether this daemon is current and has a configuration.
+    bool isReady();
+    /// The member with @p id as a target for PeerCalls; an empty id when it is not known.
+    PeerTarget target(const MemberId &id) const;
+
+    void setObservation(const VmId &vm, const ServerState &state);
+    /// Pushed at once to all members of the zone, and to the other zones with the exchanges.
+    void reportCrashSuspect(const std::string &fingerprint, std::uint64_t weightThousandths);
+    /// Likewise.
+    void reportLeaving(const VmId &vm);
+
+    PeerMessage onExchange(const PeerMessage &message) override;
+    ConfigurationText onFetchConfig() override;
+    void onRelinquishClaim(std::string service, std::string key, std::string token, std::function<void(RelinquishOutcome)> answer) override;
+    void onConfirmNoOrdersInFlight(DomainKey domain, std::uint64_t epoch, std::function<void(bool)> answer) override;
+    void onSignals(std::vector<PeerSignal> signals) override;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+}
--- a/src/membership/peer_calls.h
+++ b/src/membership/peer_calls.h
@@ -46,7 +46,8 @@
     virtual void exchange(const PeerTarget &target, PeerMessage message, ExchangeHandler handler) = 0;
     virtual void fetchConfig(const PeerTarget &target, ConfigurationHandler handler) = 0;
     /// Not run by another process than target.process; the reply then says isOtherProcess.
-    virtual void relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token, RelinquishHandler handler) = 0;
+    virtual void
+    relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token, RelinquishHandler handler) = 0;
     /// Not run by another process than target.process; the reply then says isOtherProcess.
     virtual void confirmNoOrdersInFlight(const PeerTarget &target, const DomainKey &domain, std::uint64_t epoch, ConfirmHandler handler) = 0;
     virtual void reportSignals(const PeerTarget &target, std::vector<PeerSignal> signals, DoneHandler handler) = 0;
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -1,9 +1,9 @@
 #include "membership/rendezvous.h"
 
-#include <algorithm>
-
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace carawaypoint
 {
 
@@ -31,9 +31,8 @@
         ranked.emplace_back(hash64(member.str(), seed), &member);
     }
     const auto kept = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end(), [](const auto &a, const auto &b) {
-        return a.first != b.first ? a.first > b.first : *a.second < *b.second;
-    });
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end(),
+                      [](const auto &a, const auto &b) { return a.first != b.first ? a.first > b.first : *a.second < *b.second; });
     std::vector<MemberId> chosen;
     for (std::size_t i = 0; i < kept; ++i) {
         chosen.push_back(*ranked[i].second);
--- a/src/membership/roles.cpp
+++ b/src/membership/roles.cpp
@@ -25,9 +25,8 @@
 
 MemberId oldestMember(std::span<const MemberRecord> liveInZone)
 {
-    const auto oldest = std::min_element(liveInZone.begin(), liveInZone.end(), [](const auto &a, const auto &b) {
-        return std::tie(a.process, a.id) < std::tie(b.process, b.id);
-    });
+    const auto oldest = std::min_element(liveInZone.begin(), liveInZone.end(),
+                                         [](const auto &a, const auto &b) { return std::tie(a.process, a.id) < std::tie(b.process, b.id); });
     return oldest == liveInZone.end() ? MemberId{} : oldest->id;
 }
 
--- a/src/membership/shared_observations.cpp
+++ b/src/membership/shared_observations.cpp
@@ -35,8 +35,7 @@
 {
     std::map<std::string, ObservedServer> servers;
     const auto add = [&](const Owner &owner) {
-        for (auto it = owner.entries.lower_bound({EntryKind::Observation, {}}); it != owner.entries.end() && it->first.first == EntryKind::Observation;
-             ++it) {
+        for (auto it = owner.entries.lower_bound({EntryKind::Observation, {}}); it != owner.entries.end() && it->first.first == EntryKind::Observation; ++it) {
             const auto &entry = it->second;
             if (entry.isRemoved) {
                 continue;
--- a/src/membership/shared_state.cpp
+++ b/src/membership/shared_state.cpp
@@ -219,9 +219,8 @@
     const auto addIfNewer = [&](const Owner &owner) {
         const auto found = known.find(owner.key);
         const auto stamp = static_cast<std::uint32_t>(owner.ticks);
-        const bool isNewer = found != known.end()
-            ? owner.version > found->second->version || static_cast<std::int32_t>(stamp - found->second->stamp) > 0
-            : owner.zone == reader;
+        const bool isNewer =
+            found != known.end() ? owner.version > found->second->version || static_cast<std::int32_t>(stamp - found->second->stamp) > 0 : owner.zone == reader;
         if (isNewer && owner.hasTicks) {
             newer.push_back({owner.key, stamp, owner.version});
         }
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <cstdint>
 #include <initializer_list>
+
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -54,6 +55,10 @@
 /// Writes a routing or placement decision and keeps it for `carawaypoint explain`.
 /// @param kind "routing", "placement", "admission", "claim", "configuration" or "alarm".
 /// @param subject the request, replica or VM that the decision is about.
-void logDecision(std::string_view kind, std::string_view subject, std::string_view choice, std::string_view reason, std::initializer_list<LogField> fields = {});
+void logDecision(std::string_view kind,
+                 std::string_view subject,
+                 std::string_view choice,
+                 std::string_view reason,
+                 std::initializer_list<LogField> fields = {});
 
 }
--- a/src/protocol/peer_service.cpp
+++ b/src/protocol/peer_service.cpp
@@ -114,7 +114,7 @@
     PeerServiceCounters counters() const
     {
         return {counters_.callsServed, counters_.malformedMessages, counters_.refusedConnections,
-                counters_.failedCalls, counters_.bytesReceived, counters_.bytesSent};
+                counters_.failedCalls, counters_.bytesReceived,     counters_.bytesSent};
     }
 
     const PeerServiceOptions &options() const
@@ -271,13 +271,11 @@
 
 void PeerService::fetchConfig(const PeerTarget &target, ConfigurationHandler handler)
 {
-    impl_->call<ConfigurationText>(target, impl_->options().fetchTimeout, std::move(handler), [](wire::Peer::Client &peer) {
-        return peer.fetchConfigRequest().send();
-    });
+    impl_->call<ConfigurationText>(target, impl_->options().fetchTimeout, std::move(handler),
+                                   [](wire::Peer::Client &peer) { return peer.fetchConfigRequest().send(); });
 }
 
-void PeerService::relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token,
-                                  RelinquishHandler handler)
+void PeerService::relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token, RelinquishHandler handler)
 {
     impl_->call<RelinquishOutcome>(
         target, impl_->options().callTimeout, std::move(handler),
--- a/src/protocol/peer_service.h
+++ b/src/protocol/peer_service.h
@@ -53,8 +53,7 @@
 
     void exchange(const PeerTarget &target, PeerMessage message, ExchangeHandler handler) override;
     void fetchConfig(const PeerTarget &target, ConfigurationHandler handler) override;
-    void relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token,
-                         RelinquishHandler handler) override;
+    void relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token, RelinquishHandler handler) override;
     void confirmNoOrdersInFlight(const PeerTarget &target, const DomainKey &domain, std::uint64_t epoch, ConfirmHandler handler) override;
     void reportSignals(const PeerTarget &target, std::vector<PeerSignal> signals, DoneHandler handler) override;
 
--- a/src/protocol/rpc_client.cpp
+++ b/src/protocol/rpc_client.cpp
@@ -85,9 +85,8 @@
     if (connections_.size() < context_.options.maxClientConnections) {
         return;
     }
-    const auto oldest = std::min_element(connections_.begin(), connections_.end(), [](const auto &a, const auto &b) {
-        return a.second->lastUsed < b.second->lastUsed;
-    });
+    const auto oldest =
+        std::min_element(connections_.begin(), connections_.end(), [](const auto &a, const auto &b) { return a.second->lastUsed < b.second->lastUsed; });
     drop(oldest->first, oldest->second.get());
 }
 
@@ -102,7 +101,9 @@
     connections_.erase(found);
 }
 
-void RpcClient::call(const Endpoint &address, Duration timeout, std::function<kj::Promise<void>(wire::Peer::Client &)> make,
+void RpcClient::call(const Endpoint &address,
+                     Duration timeout,
+                     std::function<kj::Promise<void>(wire::Peer::Client &)> make,
                      std::function<void(bool isMalformed)> onFailure)
 {
     auto connection = connectionTo(address);
--- a/src/protocol/rpc_client.h
+++ b/src/protocol/rpc_client.h
@@ -19,7 +19,9 @@
 
     /// Runs @p make with the peer at @p address. A failure or timeout closes the connection, so that a silent one is not
     /// used again, and calls @p onFailure with whether the peer sent something unreadable.
-    void call(const Endpoint &address, Duration timeout, std::function<kj::Promise<void>(wire::Peer::Client &)> make,
+    void call(const Endpoint &address,
+              Duration timeout,
+              std::function<kj::Promise<void>(wire::Peer::Client &)> make,
               std::function<void(bool isMalformed)> onFailure);
 
 private:
--- a/src/protocol/rpc_context.cpp
+++ b/src/protocol/rpc_context.cpp
@@ -29,8 +29,8 @@
 
 }
 
-kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> CountingStream::tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options,
-                                                                                 kj::ArrayPtr<capnp::word> scratch)
+kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>>
+CountingStream::tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options, kj::ArrayPtr<capnp::word> scratch)
 {
     return inner_.tryReadMessage(fds, options, scratch)
         .then(
--- a/src/protocol/rpc_context.h
+++ b/src/protocol/rpc_context.h
@@ -51,8 +51,8 @@
         return hasSeenMalformed_;
     }
 
-    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options,
-                                                                      kj::ArrayPtr<capnp::word> scratch) override;
+    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>>
+    tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options, kj::ArrayPtr<capnp::word> scratch) override;
     kj::Promise<void> writeMessage(kj::ArrayPtr<const int> fds, kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override;
     kj::Promise<void> writeMessages(kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override;
     kj::Maybe<int> getSendBufferSize() override
--- a/src/protocol/rpc_server.cpp
+++ b/src/protocol/rpc_server.cpp
@@ -73,9 +73,8 @@
         if (!claim || claim->process != context_.process) {
             return refuseOtherProcess(call, claim.has_value());
         }
-        return askControl<RelinquishOutcome>([&handler = context_.handler, claim = *claim](auto answer) {
-                   handler.onRelinquishClaim(claim.service, claim.key, claim.token, answer);
-               })
+        return askControl<RelinquishOutcome>(
+                   [&handler = context_.handler, claim = *claim](auto answer) { handler.onRelinquishClaim(claim.service, claim.key, claim.token, answer); })
             .then([this, call](RelinquishOutcome outcome) mutable {
                 auto results = call.getResults();
                 setOk(results);
@@ -92,9 +91,8 @@
         };
         auto question = readOr<Question>(call, [&] {
             const auto params = call.getParams();
-            return Question{params.getExpectedProcess(),
-                            {ZoneId(wire::readText(params.getZone())), FabricDomainId(wire::readText(params.getDomain()))},
-                            params.getEpoch()};
+            return Question{
+                params.getExpectedProcess(), {ZoneId(wire::readText(params.getZone())), FabricDomainId(wire::readText(params.getDomain()))}, params.getEpoch()};
         });
         if (!question || question->process != context_.process) {
             return refuseOtherProcess(call, question.has_value());
--- /dev/null
+++ b/tests/membership/configuration_agent_test.cpp
@@ -0,0 +1,273 @@
+#include "fake_object_store.h"
+#include "membership/configuration_agent.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+using test::FakeObjectStore;
+
+const std::pair<std::string, std::string> CurrentKey{"config", "current"};
+
+/// Peers that all hold one configuration.
+class FakePeers : public PeerCalls
+{
+public:
+    void exchange(const PeerTarget &, PeerMessage, ExchangeHandler) override
+    {
+    }
+    void fetchConfig(const PeerTarget &, ConfigurationHandler handler) override
+    {
+        handler({}, configuration);
+    }
+    void relinquishClaim(const PeerTarget &, std::string_view, std::string_view, std::string_view, RelinquishHandler) override
+    {
+    }
+    void confirmNoOrdersInFlight(const PeerTarget &, const DomainKey &, std::uint64_t, ConfirmHandler) override
+    {
+    }
+    void reportSignals(const PeerTarget &, std::vector<PeerSignal>, DoneHandler) override
+    {
+    }
+
+    ConfigurationText configuration;
+};
+
+class ConfigurationAgentTest : public testing::Test
+{
+protected:
+    std::unique_ptr<ConfigurationAgent> makeAgent(std::string writer)
+    {
+        ConfigurationAgentOptions options;
+        options.writer = std::move(writer);
+        options.retryDelay = milliseconds(1);
+        auto agent = std::make_unique<ConfigurationAgent>(io_.get_executor(), clock_, store_, options);
+        agent->setPeers(peers_);
+        return agent;
+    }
+
+    /// Runs handlers until no more are ready and the short retry timers have expired.
+    void settle()
+    {
+        for (int i = 0; i < 20; ++i) {
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds(15));
+        }
+    }
+
+    struct Result {
+        std::error_code error;
+        ConfigurationText present;
+    };
+
+    std::shared_ptr<std::optional<Result>> propose(ConfigurationAgent &agent, std::string_view documents, std::uint64_t expected)
+    {
+        auto result = std::make_shared<std::optional<Result>>();
+        agent.propose(documents, expected, [result](std::error_code error, ConfigurationText present) { *result = Result{error, std::move(present)}; });
+        return result;
+    }
+
+    std::uint64_t storedGeneration()
+    {
+        const auto found = store_.objects.find(CurrentKey);
+        const auto stored = found == store_.objects.end() ? std::nullopt : parseStoredConfiguration(found->second.value);
+        return stored ? stored->configuration.generation : 0;
+    }
+
+    boost::asio::io_context io_;
+    ManualClock clock_;
+    FakeObjectStore store_{io_.get_executor()};
+    FakePeers peers_;
+};
+
+// Guards against two operators who both believe that their change was accepted.
+TEST_F(ConfigurationAgentTest, acceptsOneOfTwoRacingOperators)
+{
+    auto first = makeAgent("a");
+    auto second = makeAgent("b");
+    const auto one = propose(*first, R"({"base":"1"})", 0);
+    const auto two = propose(*second, R"({"base":"2"})", 0);
+    settle();
+    ASSERT_TRUE(*one && *two);
+    EXPECT_FALSE((*one)->error);
+    EXPECT_EQ((*two)->error, ResultCode::ConfigConflict);
+    EXPECT_EQ((*two)->present.text, R"({"base":"1"})"); // shown the difference
+    EXPECT_EQ(second->tracker().generation(), 0U); // and nothing changed
+    const auto again = propose(*second, R"({"base":"2"})", 1);
+    settle();
+    EXPECT_FALSE((*again)->error);
+    EXPECT_EQ(storedGeneration(), 2U);
+}
+
+// Guards against a lost answer that is reported as a conflict with one's own write, or as a success that never happened.
+TEST_F(ConfigurationAgentTest, resolvesLostAnswersByReadingBack)
+{
+    auto agent = makeAgent("a");
+    store_.lostWrites = 1;
+    const auto lost = propose(*agent, R"({"base":"1"})", 0);
+    settle();
+    EXPECT_FALSE((*lost)->error);
+    store_.droppedWrites = 1;
+    const auto dropped = propose(*agent, R"({"base":"2"})", 1);
+    settle();
+    EXPECT_FALSE((*dropped)->error);
+    EXPECT_EQ(storedGeneration(), 2U);
+    EXPECT_EQ(store_.writes, 2);
+    store_.isDown = true;
+    const auto down = propose(*agent, R"({"base":"3"})", 2);
+    settle();
+    EXPECT_EQ((*down)->error, ResultCode::PlatformUnavailable);
+    EXPECT_EQ(agent->tracker().generation(), 2U);
+}
+
+// Guards against a lost answer that is taken for success when another operator's write took its place.
+TEST_F(ConfigurationAgentTest, reportsConflictWhenAnotherWriteTookThePlaceOfALostOne)
+{
+    auto first = makeAgent("a");
+    auto second = makeAgent("b");
+    store_.droppedWrites = 1;
+    const auto one = propose(*first, R"({"base":"1"})", 0);
+    io_.poll(); // the first write is dropped, its retry waits
+    const auto two = propose(*second, R"({"base":"2"})", 0);
+    settle();
+    EXPECT_NE(!(*one)->error, !(*two)->error);
+    EXPECT_EQ(storedGeneration(), 1U);
+}
+
+// Guards against documents that no daemon could read back.
+TEST_F(ConfigurationAgentTest, refusesWhatIsNoConfiguration)
+{
+    auto agent = makeAgent("a");
+    struct Case {
+        std::string documents;
+        ResultCode code;
+    };
+    for (const auto &[documents, code] : {Case{"[1]", ResultCode::ConfigInvalid},
+                                          {"{", ResultCode::ConfigInvalid},
+                                          {"", ResultCode::ConfigInvalid},
+                                          {R"({"base":")" + std::string(ObjectStore::MaxValueBytes, 'x') + "\"}", ResultCode::ConfigTooLarge}}) {
+        const auto result = propose(*agent, documents, 0);
+        settle();
+        EXPECT_EQ((*result)->error, code);
+    }
+    EXPECT_EQ(store_.writes, 0);
+}
+
+// Guards against a watcher that misses changes, and against one that goes on after it lost the role.
+TEST_F(ConfigurationAgentTest, followsThePlatformOnlyWhileWatching)
+{
+    auto operators = makeAgent("a");
+    auto watcher = makeAgent("w");
+    watcher->setWatcher(true);
+    propose(*operators, R"({"base":"1"})", 0);
+    settle();
+    EXPECT_EQ(watcher->tracker().generation(), 1U);
+    watcher->setWatcher(false);
+    propose(*operators, R"({"base":"2"})", 1);
+    settle();
+    EXPECT_EQ(watcher->tracker().generation(), 1U);
+    watcher->setWatcher(true);
+    settle();
+    EXPECT_EQ(watcher->tracker().generation(), 2U);
+}
+
+// Guards against reverting to an older configuration when the platform is restored from an older copy.
+TEST_F(ConfigurationAgentTest, writesTheHigherGenerationBackAfterARestore)
+{
+    auto watcher = makeAgent("w");
+    watcher->setWatcher(true);
+    propose(*watcher, R"({"base":"1"})", 0);
+    settle();
+    const auto copy = store_.objects;
+    const auto copyRevision = store_.revision;
+    propose(*watcher, R"({"base":"2"})", 1);
+    settle();
+    ASSERT_EQ(watcher->tracker().generation(), 2U);
+    store_.objects = copy;
+    store_.revision = copyRevision;
+    store_.endWatches();
+    settle();
+    EXPECT_EQ(watcher->tracker().inForce().text, R"({"base":"2"})");
+    EXPECT_EQ(storedGeneration(), 2U);
+
+    store_.objects.clear(); // and when nothing is left of it
+    store_.revision = 0;
+    store_.endWatches();
+    settle();
+    EXPECT_EQ(storedGeneration(), 2U);
+}
+
+// Guards against an operator whose change builds on a restored older generation that no daemon has in force.
+TEST_F(ConfigurationAgentTest, refusesProposalsOnARestoredGeneration)
+{
+    auto agent = makeAgent("a");
+    propose(*agent, R"({"base":"1"})", 0);
+    settle();
+    const auto copy = store_.objects;
+    propose(*agent, R"({"base":"2"})", 1);
+    settle();
+    store_.objects = copy;
+    const auto result = propose(*agent, R"({"base":"3"})", 1);
+    settle();
+    EXPECT_EQ((*result)->error, ResultCode::ConfigConflict);
+    EXPECT_EQ((*result)->present.generation, 2U);
+}
+
+// Guards against a daemon in a cut-off zone that stays without a configuration, or takes a lower one from a peer.
+TEST_F(ConfigurationAgentTest, takesTheHighestGenerationOfItsPeers)
+{
+    store_.isDown = true;
+    auto agent = makeAgent("r");
+    agent->setWatcher(true);
+    EXPECT_FALSE(agent->tracker().isReady());
+    peers_.configuration = {5, 0, R"({"base":"5"})"};
+    agent->noteMember({MemberId("p"), 1, {}}, 5, configurationDigest(R"({"base":"5"})"));
+    settle();
+    EXPECT_EQ(agent->tracker().generation(), 5U);
+    peers_.configuration = {4, 0, R"({"base":"4"})"};
+    agent->noteMember({MemberId("q"), 1, {}}, 6, 0); // announces 6 but delivers 4
+    settle();
+    EXPECT_EQ(agent->tracker().generation(), 5U);
+    peers_.configuration = {7, 0, "no json"};
+    agent->noteMember({MemberId("q"), 1, {}}, 7, 0);
+    EXPECT_EQ(agent->tracker().generation(), 5U);
+    EXPECT_EQ(agent->faultCount(), 1U);
+}
+
+// Guards against a silent split: two texts under one generation have to be reported and neither replaced.
+TEST_F(ConfigurationAgentTest, reportsAnotherTextUnderTheSameGeneration)
+{
+    auto agent = makeAgent("a");
+    propose(*agent, R"({"base":"1"})", 0);
+    settle();
+    agent->noteMember({MemberId("p"), 1, {}}, 1, 42);
+    EXPECT_EQ(agent->faultCount(), 1U);
+    EXPECT_EQ(agent->tracker().inForce().text, R"({"base":"1"})");
+}
+
+// Guards against a status that shows a member at a generation that it has left, or for the wrong time.
+TEST(GenerationTracker, keepsTimeInForcePerMember)
+{
+    GenerationTracker tracker;
+    ManualClock clock;
+    tracker.noteMember(MemberId("p"), 1, 7, clock.now());
+    const auto first = clock.now();
+    clock.advance(seconds(5));
+    tracker.noteMember(MemberId("p"), 1, 7, clock.now());
+    EXPECT_EQ(tracker.memberStatus().front().since, first);
+    tracker.noteMember(MemberId("p"), 2, 8, clock.now());
+    EXPECT_EQ(tracker.memberStatus().front().since, clock.now());
+    tracker.forgetMember(MemberId("p"));
+    EXPECT_TRUE(tracker.memberStatus().empty());
+}
+
+}
+
+}
--- a/tests/membership/simulated_fleet.h
+++ b/tests/membership/simulated_fleet.h
@@ -130,10 +130,15 @@
     Duration minDelay = microseconds(500);
     Duration maxDelay = milliseconds(2);
     Duration timeout = milliseconds(800);
-    std::function<bool(const Node &, const Node &)> isCut = [](const auto &, const auto &) { return false; };
-    std::function<void(std::size_t, TimePoint)> beforeTick = [](auto, auto) {};
+    std::function<bool(const Node &, const Node &)> isCut = [](const auto &, const auto &) {
+        return false;
+    };
+    std::function<void(std::size_t, TimePoint)> beforeTick = [](auto, auto) {
+    };
     /// Sees every message, for measurements; returns the message as the receiver gets it.
-    std::function<PeerMessage(std::size_t from, std::size_t to, PeerMessage)> carry = [](auto, auto, PeerMessage message) { return message; };
+    std::function<PeerMessage(std::size_t from, std::size_t to, PeerMessage)> carry = [](auto, auto, PeerMessage message) {
+        return message;
+    };
 
 private:
     struct Event {
--- a/tests/protocol/peer_service_test.cpp
+++ b/tests/protocol/peer_service_test.cpp
@@ -1,6 +1,5 @@
-#include "protocol/peer_service.h"
-
 #include "core/result_code.h"
+#include "protocol/peer_service.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -188,19 +187,40 @@
         std::function<void(PeerMessage &)> spoil;
     };
     const Case cases[] = {
-        {"no sender id", [](auto &m) { m.sender.id = MemberId(); }},
-        {"no process", [](auto &m) { m.sender.process = 0; }},
-        {"bad address", [](auto &m) { m.sender.address = {}; }},
-        {"status out of range", [](auto &m) { m.sender.status = static_cast<MemberStatus>(9); }},
-        {"too many members", [](auto &m) { m.members.assign(MaxDeltaEntries + 1, record("x", 1)); }},
-        {"too many entries", [](auto &m) { m.deltas.push_back({1, 0, 0, 1, std::vector<StateEntry>(MaxDeltaEntries + 1)}); }},
+        {"no sender id",
+         [](auto &m) {
+             m.sender.id = MemberId();
+         }},
+        {"no process",
+         [](auto &m) {
+             m.sender.process = 0;
+         }},
+        {"bad address",
+         [](auto &m) {
+             m.sender.address = {};
+         }},
+        {"status out of range",
+         [](auto &m) {
+             m.sender.status = static_cast<MemberStatus>(9);
+         }},
+        {"too many members",
+         [](auto &m) {
+             m.members.assign(MaxDeltaEntries + 1, record("x", 1));
+         }},
+        {"too many entries",
+         [](auto &m) {
+             m.deltas.push_back({1, 0, 0, 1, std::vector<StateEntry>(MaxDeltaEntries + 1)});
+         }},
         {"entry kind out of range",
          [](auto &m) {
              StateEntry entry;
              entry.kind = static_cast<EntryKind>(EntryKindCount);
              m.deltas.push_back({1, 0, 0, 1, {entry}});
          }},
-        {"text too long", [](auto &m) { m.sender.zone = ZoneId(std::string(2000, 'z')); }},
+        {"text too long",
+         [](auto &m) {
+             m.sender.zone = ZoneId(std::string(2000, 'z'));
+         }},
     };
     std::uint64_t count = 0;
     for (const auto &[name, spoil] : cases) {
@@ -219,8 +239,7 @@
     const std::string inputs[] = {
         std::string(64, '\xff'), // 2^32 segments
         std::string("\0\0\0\0\xff\xff\xff\x7f", 8), // a segment of 16 GB
-        std::string("GET / HTTP/1.1\r\n\r\n"),
-        std::string("\0\0\0\0\x01\0\0\0\xff\xff\xff\xff\xff\xff\xff\xff", 16), // a wild pointer
+        std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\0\0\0\0\x01\0\0\0\xff\xff\xff\xff\xff\xff\xff\xff", 16), // a wild pointer
     };
     for (const auto &input : inputs) {
         tcp::socket socket(io_);
