--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -83,9 +83,24 @@
         }
         addBridgeExchanges(out, now);
     }
+    for (auto &exchange : out) {
+        for (const auto &record : list_.all()) {
+            if (record.address == exchange.target.address) {
+                addDoubt(exchange.message, record);
+            }
+        }
+    }
     return out;
 }
 
+void MemberTable::addDoubt(PeerMessage &message, const MemberRecord &receiver)
+{
+    const bool isPresent = std::find(message.members.begin(), message.members.end(), receiver) != message.members.end();
+    if (receiver.status != MemberStatus::Alive && receiver.id != list_.self().id && !isPresent) {
+        message.members.push_back(receiver);
+    }
+}
+
 void MemberTable::addBridgeExchanges(std::vector<OutgoingExchange> &out, TimePoint now)
 {
     const auto own = list_.live(list_.self().zone);
@@ -150,6 +165,12 @@
             unused.push_back(seed);
         }
     }
+    // A member that was declared dead may only have been cut off.
+    for (const auto &record : members) {
+        if (record.status == MemberStatus::Dead && record.zone == list_.self().zone) {
+            unused.push_back(record.address);
+        }
+    }
     if (unused.empty()) {
         return std::nullopt;
     }
@@ -210,6 +231,9 @@
     response.platformRevision = platformRevision_;
     response.isFull = request.isRequestingFull;
     response.members = request.isRequestingFull ? list_.all() : list_.takeDeltas(MaxMemberDeltas);
+    if (const auto known = list_.find(request.sender.id); known && known->process == request.sender.process) {
+        addDoubt(response, *known);
+    }
     response.stamps = state_.newerStamps(request.stamps, request.sender.zone);
     const auto used = response.isFull ? 0 : response.members.size();
     response.deltas = state_.newerDeltas(request.stamps, request.sender.zone, MaxDeltaEntries - used, random_);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -148,6 +148,8 @@
     std::optional<PeerTarget> unusedSeed();
     PeerTarget targetOf(const MemberId &id) const;
     void addBridgeExchanges(std::vector<OutgoingExchange> &out, TimePoint now);
+    /// Tells a receiver that is held to be suspect or dead, so that it can refute.
+    void addDoubt(PeerMessage &message, const MemberRecord &receiver);
     ZoneSummary summaryFor(const ZoneId &reader, TimePoint now) const;
     std::map<std::uint32_t, std::uint32_t> sumOf(std::vector<KeyCount> StateEntry::*counts, bool isZoneOnly) const;
     void updateAlone();
