--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -135,6 +136,7 @@
     if (process != 0) {
         return process;
     }
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // so that a crashed test leaves no process
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
