--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -82,6 +82,6 @@
         ADMINS+=("$address:$((PORT_BASE + 6))")
     done
     for number in 1 2 3 4 5 6 7; do
-        wait_for_port "${ENTRIES[number - 1]%:*}" $((PORT_BASE + 5))
+        wait_for_port "${ADMINS[number - 1]%:*}" $((PORT_BASE + 6))
     done
 }
--- a/tests/daemon/control_failure_test.cpp
+++ b/tests/daemon/control_failure_test.cpp
@@ -89,7 +89,7 @@
     const auto second = changedDocuments(cluster, "second");
     auto firstAnswer = std::async(std::launch::async, [&] { return apply(cluster, 1, first, generation); });
     auto secondAnswer = std::async(std::launch::async, [&] { return apply(cluster, 5, second, generation); });
-    const auto statuses = std::minmax(firstAnswer.get().status, secondAnswer.get().status);
+    const auto statuses = std::minmax({firstAnswer.get().status, secondAnswer.get().status});
     EXPECT_EQ(statuses.first, 200U);
     EXPECT_EQ(statuses.second, 409U);
     const auto start = std::chrono::steady_clock::now();
--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -289,7 +289,8 @@
 {
     json::object sum;
     for (unsigned zone = 1; zone <= options_.zones; ++zone) {
-        for (const auto &[name, value] : json::parse(callHttp(engineControl(zone), "GET", "/standin/audit").body).as_object()) {
+        const json::value audit = json::parse(callHttp(engineControl(zone), "GET", "/standin/audit").body);
+        for (const auto &[name, value] : audit.as_object()) {
             if (!value.is_number()) {
                 continue;
             }
@@ -304,7 +305,8 @@
 std::map<std::string, std::uint64_t> TestCluster::bookingExecutions() const
 {
     std::map<std::string, std::uint64_t> counts;
-    for (const auto &[key, count] : json::parse(callHttp(serviceControl(), "GET", "/standin/executions").body).as_object()) {
+    const json::value executions = json::parse(callHttp(serviceControl(), "GET", "/standin/executions").body);
+    for (const auto &[key, count] : executions.as_object()) {
         counts[std::string(key)] = count.to_number<std::uint64_t>();
     }
     return counts;
