--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -76,6 +76,10 @@
             respond(faultsResponse(loaded));
             return;
         }
+        if (const std::string zone = plane_.findZoneWithoutSite(loaded); !zone.empty()) {
+            respond(makeAdminError(ResultCode::ConfigInvalid, "zone " + zone + " has daemons but no site; expected a site with this zone"));
+            return;
+        }
         propose(*parsed, generation, respond);
     }
 
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -91,6 +91,8 @@
     }
     DaemonStatus status();
     std::vector<MemberGeneration> memberGenerations();
+    /// A zone with live daemons that @p loaded has no site for; such daemons could not put it in force. Empty when there is none.
+    std::string findZoneWithoutSite(const LoadedConfig &loaded);
     /// Takes a backend server out of service at all daemons; false for an unknown VM.
     bool drainVm(const VmId &vm);
 
--- a/src/daemon/control_plane_views.cpp
+++ b/src/daemon/control_plane_views.cpp
@@ -6,6 +6,8 @@
 #include "observe/log.h"
 #include "observe/metrics.h"
 
+#include <algorithm>
+
 namespace carawaypoint
 {
 
@@ -36,6 +38,18 @@
     return status;
 }
 
+std::string ControlPlane::findZoneWithoutSite(const LoadedConfig &loaded)
+{
+    for (const auto &member : members()) {
+        const bool hasSite =
+            std::any_of(loaded.sites.begin(), loaded.sites.end(), [&member](const auto &site) { return site.second.siteSettings.zone == member.zone; });
+        if (isLiveStatus(member.status) && !hasSite) {
+            return member.zone.str();
+        }
+    }
+    return {};
+}
+
 std::vector<MemberGeneration> ControlPlane::memberGenerations()
 {
     const ClockPair clocks{clock_.now(), std::chrono::system_clock::now()};
