--- a/src/assignment/order_rules.cpp
+++ b/src/assignment/order_rules.cpp
@@ -1,6 +1,7 @@
 #include "assignment/order_rules.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carawaypoint
 {
@@ -9,6 +10,8 @@
 
 // An engine that refuses an order, or whose answers are lost, is asked again at this pace.
 constexpr Duration ResendAfter = seconds(1);
+// Ticks come several times a second.
+constexpr Duration MaxTickGap = seconds(3);
 
 }
 
@@ -55,6 +58,12 @@
 
 void OrderTracker::expire(TimePoint now)
 {
+    const bool wasPaused = now - std::exchange(expiredAt_, now) > MaxTickGap;
+    for (auto &[vm, orders] : sent_) {
+        for (auto &sent : orders) {
+            sent.sentAt = wasPaused ? now : sent.sentAt;
+        }
+    }
     for (auto entry = sent_.begin(); entry != sent_.end();) {
         std::erase_if(entry->second, [&](const Sent &sent) { return now - sent.sentAt >= lifetime_; });
         entry = entry->second.empty() ? sent_.erase(entry) : std::next(entry);
--- a/src/assignment/order_rules.h
+++ b/src/assignment/order_rules.h
@@ -24,7 +24,8 @@
     std::uint64_t sent(const VmId &vm, FencingNumber fence, bool isRelease, TimePoint now);
     /// An answer of any kind settles an order; without one (@p isLost) it stays unsettled for its lifetime.
     void answered(const VmId &vm, std::uint64_t order, bool isLost, bool isDone);
-    /// Forgets orders whose lifetime has passed.
+    /// Forgets orders whose lifetime has passed. Called at every tick: a gap means that the process was paused, perhaps
+    /// before an order that it counts as sent left it, so all lifetimes begin again.
     void expire(TimePoint now);
     /// Whether no order to @p vm can still be carried out.
     bool isSettled(const VmId &vm) const;
@@ -55,6 +56,7 @@
     std::map<VmId, TimePoint> lastSentAt_;
     std::map<VmId, Released> released_;
     std::uint64_t lastOrder_ = 0;
+    TimePoint expiredAt_{};
 };
 
 struct DueOrder {
