--- a/src/assignment/repair.cpp
+++ b/src/assignment/repair.cpp
@@ -328,6 +328,7 @@
                     free.erase(free.begin() + static_cast<std::ptrdiff_t>(chosen));
                 }
                 if (members.size() < target->vmsPerReplica) {
+                    releaseSpares(*target, target->vmsPerReplica - static_cast<std::uint32_t>(members.size()));
                     return;
                 }
                 add({.kind = DecisionKind::CreateReplica, .model = model, .members = std::move(members), .reason = "fewer replicas than wanted"});
@@ -335,6 +336,31 @@
         }
     }
 
+    /// Spares are left-over VMs: when they are enough for one more replica that is wanted, they are none any more.
+    void releaseSpares(const ModelTarget &target, std::uint32_t lacking)
+    {
+        auto releasing = releasingVms(target.pool);
+        for (const auto &id : replicaIds()) {
+            const auto *replica = record_.replica(id);
+            if (releasing < lacking && poolOf(*replica) == target.pool && isSpareUsable(*replica)) {
+                add({.kind = DecisionKind::ReleaseSpare,
+                     .vm = replica->spare,
+                     .replica = id,
+                     .reason = "needed for one more replica of " + target.model.str()});
+                ++releasing;
+            }
+        }
+    }
+
+    /// Whether free VMs of the pool are kept for a replica that is to be created.
+    bool isCreationDue(const std::string &pool) const
+    {
+        return std::any_of(view_.create.begin(), view_.create.end(), [&](const auto &entry) {
+            const auto *target = settings_.model(entry.first);
+            return target && target->pool == pool && entry.second > 0;
+        });
+    }
+
     /// VMs of @p pool that are on their way to be free: more need not be released for the same gap.
     std::uint32_t releasingVms(const std::string &pool) const
     {
@@ -389,7 +415,8 @@
             }
             const auto *present = record_.replica(id);
             const auto free = freeVms(poolOf(*present), present->model);
-            if (present->spare.isEmpty() && !free.empty() && present->members.size() == present->expectedMembers && !isSurplus(id)) {
+            if (present->spare.isEmpty() && !free.empty() && !isCreationDue(poolOf(*present)) && present->members.size() == present->expectedMembers
+                && !isSurplus(id)) {
                 const auto chosen = free[view_.strategy->chooseVm(free)].vm;
                 add({.kind = DecisionKind::BindSpare, .other = chosen, .replica = id, .reason = "left over"});
             }
--- a/src/assignment/zone_plan.cpp
+++ b/src/assignment/zone_plan.cpp
@@ -54,11 +54,6 @@
     return summary;
 }
 
-bool isSpareUsable(const ReplicaEntry &replica, const VmObservations &observations, const AssignmentSettings &settings, TimePoint observedSince, TimePoint now)
-{
-    return !replica.spare.isEmpty() && !isMissing(replica.spare, observations, settings, observedSince, now);
-}
-
 std::uint32_t freeOf(const DomainSummary &domain, const std::string &pool)
 {
     const auto found = domain.freeVms.find(pool);
@@ -178,7 +173,11 @@
         return isMissing(vm, observations, settings, observedSince, now);
     };
     for (const auto &vm : record.vms) {
-        if (vm.phase == VmPhase::Free && !vm.isDraining && !missing(vm.id)) {
+        const auto *replica = record.replica(vm.replica);
+        const bool isSpare = vm.phase == VmPhase::Bound && replica->spare == vm.id;
+        // A releasing VM is free within moments, unless its release waits for a former controller.
+        const bool isFreeSoon = vm.phase == VmPhase::Releasing && (record.unconfirmed.empty() || settings.checksFencing(vm.pool));
+        if ((vm.phase == VmPhase::Free || isSpare || isFreeSoon) && !vm.isDraining && !missing(vm.id)) {
             ++summary.freeVms[vm.pool];
         }
     }
@@ -189,10 +188,7 @@
     }
     for (const auto &replica : record.replicas) {
         auto entry = summarizeReplica(record, replica, observations, settings, observedSince, now);
-        auto lacking = missingMembers(entry);
-        if (lacking > 0 && isSpareUsable(replica, observations, settings, observedSince, now)) {
-            --lacking;
-        }
+        const auto lacking = missingMembers(entry);
         const auto *target = settings.model(replica.model);
         auto &free = summary.freeVms[target ? target->pool : std::string()];
         entry.isCompletable = lacking <= free;
--- a/src/assignment/zone_plan.h
+++ b/src/assignment/zone_plan.h
@@ -22,13 +22,13 @@
     std::set<VmId> loading; // members that load from the weight store
     std::set<VmId> toLoad; // members that will have to
     bool isWhole = false; // every member was seen lately in the recorded incarnation and loaded
-    bool isCompletable = false; // with its spare and free VMs of its domain
+    bool isCompletable = false; // with free VMs and spares of its domain
     bool isOutdated = false; // its version or adapters differ from the target
 };
 
 struct DomainSummary {
     FabricDomainId domain;
-    std::map<std::string, std::uint32_t> freeVms; // by pool, without those that incomplete replicas need
+    std::map<std::string, std::uint32_t> freeVms; // by pool, spares included, without those that incomplete replicas need
     std::vector<ReplicaSummary> replicas;
 };
 
--- a/tests/assignment/controller_test.cpp
+++ b/tests/assignment/controller_test.cpp
@@ -174,6 +174,22 @@
     EXPECT_EQ(zone.wholeReplicas(), 2U);
 }
 
+// Guards against spares that keep a wanted replica from being created, although together they are enough VMs for it.
+TEST_P(ControllerTest, sparesGiveWayToAWantedReplica)
+{
+    ZoneSimulation full(settingsFor(2), GetParam());
+    full.addDomain("a", 6);
+    auto &daemon = full.addDaemon("d1");
+    full.run(seconds(60));
+    const auto before = full.stored("a");
+    EXPECT_EQ(std::count_if(before.replicas.begin(), before.replicas.end(), [](const auto &replica) { return !replica.spare.isEmpty(); }), 2);
+    full.settings.models.front().replicas = 3;
+    daemon.controller->setSettings(full.settings);
+    full.run(seconds(60));
+    EXPECT_EQ(full.wholeReplicas(), 3U);
+    EXPECT_EQ(full.violations, std::vector<std::string>());
+}
+
 // Guards against a version change that takes all replicas of a model down at once.
 TEST_P(ControllerTest, updatesOneReplicaAtATime)
 {
