Correct the linter's findings in the assignment's files

Change: explicit widening, a structured binding that a lambda may not capture, and two suppressions with their reason: the table name that Boost.MSM fixes, and a false positive of modernize-use-nullptr on defaulted comparisons (core/ids.h too, because every file that compares identifiers reports it).

--- a/src/assignment/domain_record.h
+++ b/src/assignment/domain_record.h
@@ -19,6 +19,7 @@
     std::uint64_t process = 0; // incarnation of the daemon's process
     std::uint64_t epoch = 0; // in which it held the lease
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the generated comparison with 0
     auto operator<=>(const ControllerRef &) const = default;
 };
 
--- a/src/assignment/lease_holder.cpp
+++ b/src/assignment/lease_holder.cpp
@@ -57,6 +57,7 @@
     using initial_state = Follower;
 
     // clang-format off
+    // NOLINTNEXTLINE(readability-identifier-naming): name fixed by Boost.MSM
     struct transition_table : boost::mpl::vector30<
         Row<Follower,         ClaimStarted,    Acquiring,        none, none>,
         Row<Acquiring,        WriteDone,       Held,             none, none>,
--- a/src/core/http_client.h
+++ b/src/core/http_client.h
@@ -77,7 +77,7 @@
         std::size_t maxConnections_ = 8;
         std::size_t maxWaiting_ = 256;
         Duration maxIdle_{seconds(20)};
-        std::size_t maxAnswerBytes_ = 64 * 1024 * 1024;
+        std::size_t maxAnswerBytes_ = std::size_t{64} * 1024 * 1024;
     };
 
     ~HttpClient();
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -33,6 +33,7 @@
         return value_.empty();
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the generated comparison with 0
     auto operator<=>(const StringId &) const = default;
 
     friend std::ostream &operator<<(std::ostream &out, const StringId &id)
@@ -59,6 +60,7 @@
     ZoneId zone;
     FabricDomainId domain;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the generated comparison with 0
     auto operator<=>(const DomainKey &) const = default;
 
     /// `<zone>.<domain>`, the name of the domain's object on the platform.
@@ -73,6 +75,7 @@
     std::uint64_t epoch = 0; // of the assignment controller
     std::uint64_t incarnation = 0; // of the replica
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the generated comparison with 0
     auto operator<=>(const FencingNumber &) const = default;
 };
 
@@ -82,6 +85,7 @@
     std::uint64_t sequence = 0; // of the request in that process
     std::uint32_t attempt = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the generated comparison with 0
     auto operator<=>(const AttemptId &) const = default;
 
     /// The value of the X-Attempt-Id header.
@@ -96,6 +100,7 @@
     std::string address;
     std::uint16_t port = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the generated comparison with 0
     auto operator<=>(const Endpoint &) const = default;
 
     bool isValid() const
--- a/src/engine/http_engine_client.cpp
+++ b/src/engine/http_engine_client.cpp
@@ -15,7 +15,7 @@
 {
 
 // Control answers are short; a longer one is a fault.
-constexpr std::size_t MaxAnswerBytes = 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{1024} * 1024;
 
 constexpr std::string_view RoleNames[] = {"none", "leader", "worker"};
 
--- a/tests/assignment/engine_prober_test.cpp
+++ b/tests/assignment/engine_prober_test.cpp
@@ -136,14 +136,15 @@
         void (*change)(EngineState &);
         PlacementCheck check;
     };
-    for (const auto &[change, check] : {Case{[](EngineState &state) { state.replica = ReplicaId("other"); }, PlacementCheck::OtherReplica},
-                                        {[](EngineState &state) { state.fence.incarnation = 4; }, PlacementCheck::OtherFence},
-                                        {[](EngineState &state) { state.fence.epoch = 1; }, PlacementCheck::OtherFence},
-                                        {[](EngineState &state) { state.role = EngineRole::Leader; }, PlacementCheck::OtherRole},
-                                        {[](EngineState &state) { state.version = "0"; }, PlacementCheck::OtherVersion}}) {
+    for (const auto &row : {Case{[](EngineState &state) { state.replica = ReplicaId("other"); }, PlacementCheck::OtherReplica},
+                            {[](EngineState &state) { state.fence.incarnation = 4; }, PlacementCheck::OtherFence},
+                            {[](EngineState &state) { state.fence.epoch = 1; }, PlacementCheck::OtherFence},
+                            {[](EngineState &state) { state.role = EngineRole::Leader; }, PlacementCheck::OtherRole},
+                            {[](EngineState &state) { state.version = "0"; }, PlacementCheck::OtherVersion}}) {
+        const auto check = row.check;
         auto &state = client.states[{"10.0.0.1", 2}];
         const auto right = state;
-        change(state);
+        row.change(state);
         EXPECT_EQ(loadedMembers(), 0) << placementCheckName(check);
         EXPECT_EQ(std::count_if(reports.begin(), reports.end(), [&](const auto &report) { return report.vm == VmId("v2") && report.check == check; }),
                   std::count_if(reports.begin(), reports.end(), [](const auto &report) { return report.vm == VmId("v2"); }));
