--- /dev/null
+++ b/src/daemon/claim_peers.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "idempotency/peer_claims.h"
+#include "membership/peer_calls.h"
+
+#include <optional>
+
+namespace carawaypoint
+{
+
+/// Asks the owners of claims over the peer protocol. Used on the control thread.
+class ClaimPeers : public PeerClaims
+{
+public:
+    /// @param findMember record of a member; empty when it is not known.
+    ClaimPeers(PeerCalls &peers, std::function<std::optional<MemberRecord>(const MemberId &)> findMember)
+        : peers_(peers)
+        , findMember_(std::move(findMember))
+    {
+    }
+
+    void relinquish(const ClaimReference &claim, Handler handler) override;
+
+private:
+    PeerCalls &peers_;
+    std::function<std::optional<MemberRecord>(const MemberId &)> findMember_;
+};
+
+}
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -2,6 +2,7 @@
 
 #include <initializer_list>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -46,9 +47,23 @@
     std::string json_;
 };
 
+/// `2026-12-04T06:00:00.000Z`, as in log lines.
+std::string formatUtc(std::chrono::system_clock::time_point time);
+
+/// The level named "debug", "info", "warning" or "error"; Info for another name.
+LogLevel parseLogLevel(std::string_view name);
+
 /// Sends log lines to standard error, or to @p path when it is not empty. Lines below @p level are left out.
+/// Lines are written by a thread of their own from a bounded queue; a full queue drops lines and counts them.
+/// Without startLog() no line is written, but decisions are kept.
 void startLog(std::string_view process, LogLevel level, std::string_view path = {});
 
+/// Writes the queued lines and ends the writing thread.
+void stopLog();
+
+/// Log lines dropped by a full queue since the process started.
+std::uint64_t droppedLogLines();
+
 /// Writes one JSON line with time, level, process and message.
 void logLine(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
 
