Spread requests over the replicas with room

Cause: when neither of two random replicas had room, the least loaded of all was taken. By late reports that is the same one for all daemons, and requests of customers within their share queued up to 15 deep there while other replicas had free slots.

Change: the less loaded of two random replicas among those with room.

--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -26,7 +26,7 @@
         choice.entry = byTwoChoices(candidates, request, random, choice);
     }
     if (!choice.entry) {
-        choice.entry = byScan(candidates, request, choice);
+        choice.entry = byScan(candidates, request, random, choice);
     }
     return choice;
 }
@@ -112,18 +112,30 @@
     return best;
 }
 
-ReplicaEntry *CorrectedTwoChoicesChooser::byScan(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, Choice &choice) const
+ReplicaEntry *
+CorrectedTwoChoicesChooser::byScan(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random, Choice &choice) const
 {
-    ReplicaEntry *best = nullptr;
-    for (ReplicaEntry *entry : candidates) {
-        if (hasRoom(*entry, request) && (!best || std::pair(-entry->weight(), relativeLoad(*entry)) < std::pair(-best->weight(), relativeLoad(*best)))) {
-            best = entry;
+    std::vector<ReplicaEntry *> withRoom;
+    for (const bool isHealthy : {true, false}) {
+        for (ReplicaEntry *entry : candidates) {
+            if ((entry->weight() >= 1) == isHealthy && hasRoom(*entry, request)) {
+                withRoom.push_back(entry);
+            }
+        }
+        if (!withRoom.empty()) {
+            break;
         }
     }
-    if (best) {
-        choice.reason = "least loaded with room";
-        choice.considered.push_back(best);
+    if (withRoom.empty()) {
+        return nullptr;
     }
+    // The least loaded of all would be the same for all daemons until the next report, and they would overload it together.
+    std::uniform_int_distribution<std::size_t> index(0, withRoom.size() - 1);
+    ReplicaEntry *first = withRoom[index(random)];
+    ReplicaEntry *second = withRoom[index(random)];
+    ReplicaEntry *best = relativeLoad(*second) < relativeLoad(*first) ? second : first;
+    choice.reason = "less loaded of two with room";
+    choice.considered.push_back(best);
     return best;
 }
 
--- a/src/routing/corrected_two_choices_chooser.h
+++ b/src/routing/corrected_two_choices_chooser.h
@@ -19,7 +19,7 @@
     double relativeLoad(const ReplicaEntry &entry) const;
     ReplicaEntry *byPrefix(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, Choice &choice) const;
     ReplicaEntry *byTwoChoices(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random, Choice &choice) const;
-    ReplicaEntry *byScan(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, Choice &choice) const;
+    ReplicaEntry *byScan(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random, Choice &choice) const;
 };
 
 }
