Hold back work above its share while a replica starts earlier work

Cause: during the peak half of the flood's time to the first token passed in the engine, behind prompts that were granted at the same moment.

Change: work above its share goes to a replica only when the daemon has no request there that waits for its first token.

--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -13,6 +13,9 @@
 // A replica that caches the prefix is used up to this much above the mean load.
 constexpr double AffinityLoadFactor = 1.25;
 constexpr unsigned Samples = 2;
+// Own requests without a first token on a replica, above which work above its share waits in the daemon: there it can still
+// be placed elsewhere or refused in time.
+constexpr std::uint32_t MaxStarting = 1;
 }
 
 Choice CorrectedTwoChoicesChooser::choose(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random)
@@ -43,6 +46,9 @@
     if (load(entry) + 1 > usable) {
         return false;
     }
+    if (request.isElastic && entry.starting() >= MaxStarting) {
+        return false;
+    }
     if (request.isElastic && entry.inFlight() + 1 > std::floor(usable * request.claimShare + entry.daemonFraction())) {
         return false;
     }
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -105,6 +105,8 @@
     const TimePoint now = clock_.now();
     if (record.tokens == 0) {
         admission_.noteFirstToken(record, now - record.grantedAt);
+        record.entry->noteFirstToken();
+        record.hasFirstToken = true;
     } else {
         ejector_.addTokenTime(record.entry->id(), (now - record.lastProgressAt) / (tokens - record.tokens));
     }
@@ -322,7 +324,7 @@
         return;
     }
     const TimePoint now = clock_.now();
-    record.entry->removeInFlight(record.isLong, now);
+    record.entry->removeInFlight(record.isLong, record.hasFirstToken, now);
     if (record.isSuspect) {
         SuspectPlacer::stop(record, quarantine_);
     }
--- a/src/routing/replica_entry.cpp
+++ b/src/routing/replica_entry.cpp
@@ -45,12 +45,16 @@
 void ReplicaEntry::addInFlight(bool isLong, TimePoint now)
 {
     ++inFlight_;
+    ++starting_;
     inFlightLong_ += isLong ? 1 : 0;
     record(now);
 }
 
-void ReplicaEntry::removeInFlight(bool isLong, TimePoint now)
+void ReplicaEntry::removeInFlight(bool isLong, bool hadToken, TimePoint now)
 {
+    if (!hadToken) {
+        noteFirstToken();
+    }
     inFlight_ -= std::min(inFlight_, 1U);
     inFlightLong_ -= isLong ? std::min(inFlightLong_, 1U) : 0;
     record(now);
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -47,6 +47,15 @@
     {
         return inFlightLong_;
     }
+    /// Own requests that have not got their first token.
+    std::uint32_t starting() const
+    {
+        return starting_;
+    }
+    void noteFirstToken()
+    {
+        starting_ -= starting_ > 0 ? 1 : 0;
+    }
     /// Requests of the whole fleet on the replica: own ones plus the last known count of the peers.
     double estimatedLoad() const
     {
@@ -117,7 +126,8 @@
     }
 
     void addInFlight(bool isLong, TimePoint now);
-    void removeInFlight(bool isLong, TimePoint now);
+    /// @param hadToken whether noteFirstToken() was called for the request.
+    void removeInFlight(bool isLong, bool hadToken, TimePoint now);
     /// A request counted as short turned out to be long.
     void reclassifyAsLong(TimePoint now);
 
@@ -143,6 +153,7 @@
     const ReplicaView *view_ = nullptr;
     std::uint32_t inFlight_ = 0;
     std::uint32_t inFlightLong_ = 0;
+    std::uint32_t starting_ = 0;
     std::uint32_t ownLongAtReport_ = 0;
     double reportFraction_ = 0;
     double daemonFraction_ = 0;
--- a/src/routing/request_record.h
+++ b/src/routing/request_record.h
@@ -27,6 +27,7 @@
     bool isSuspect = false; // when it was granted
     bool isReclassified = false; // turned out to be long while it ran
     bool isOverShare = false; // its customer, when it was granted
+    bool hasFirstToken = false; // in the current attempt
     bool isRetry = false;
     TimePoint submittedAt;
     TimePoint grantedAt;
