Correct late reports for the turnover of short work

Cause: in the engine, short requests waited at p95 1.3 to 1.6 s for slots that the report showed as free. A report 1 s old says little about requests that hold a slot for 1.5 s.

Change: the peers' short requests move towards the mean of the pool by the age of the report over the mean slot time; long ones are taken as reported. Long work is recognised from 4 times the median output (was 8), at least 128 tokens.

--- a/src/routing/admission_control.cpp
+++ b/src/routing/admission_control.cpp
@@ -132,6 +132,11 @@
     stateOf(model).slotTime[isLong ? 1 : 0].add(std::chrono::duration<double>(held).count());
 }
 
+double AdmissionControl::shortSlotSeconds(const ModelId &model)
+{
+    return stateOf(model).slotTime[0].value();
+}
+
 AdmissionControl::ModelState &AdmissionControl::stateOf(const ModelId &model)
 {
     ModelState &state = states_[model];
--- a/src/routing/admission_control.h
+++ b/src/routing/admission_control.h
@@ -50,6 +50,8 @@
     std::vector<ModelId> models() const;
 
     void noteFirstToken(const RequestRecord &record, Duration sinceGrant);
+    /// Mean seconds that short requests hold a slot; 0 when none ended yet.
+    double shortSlotSeconds(const ModelId &model);
     void noteSlotTime(const ModelId &model, bool isLong, Duration held);
 
     CustomerAccounts &accounts()
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -172,6 +172,9 @@
             return;
         }
         evaluateOutliers();
+        for (const ModelId &model : admission_.models()) {
+            book_.setSlotSeconds(model, admission_.shortSlotSeconds(model));
+        }
         book_.refresh(clock_.now());
         updateShares();
         quarantine_.expire(clock_.now());
--- a/src/routing/replica_book.cpp
+++ b/src/routing/replica_book.cpp
@@ -24,6 +24,23 @@
     return entries.empty() ? 0 : sum / static_cast<double>(entries.size());
 }
 
+/// Of the requests that a report counted, a part that shrinks with its age is still there; the others were replaced by
+/// requests that are spread like the mean.
+void correctPeers(const std::vector<ReplicaEntry *> &entries, double slotSeconds, TimePoint now)
+{
+    if (entries.empty() || slotSeconds <= 0) {
+        return;
+    }
+    double mean = 0;
+    for (const ReplicaEntry *entry : entries) {
+        mean += entry->reportedPeersShort() / static_cast<double>(entries.size());
+    }
+    for (ReplicaEntry *entry : entries) {
+        const double age = std::chrono::duration<double>(now - entry->reportedAt()).count();
+        entry->correctPeers(mean, std::exp(-age / slotSeconds));
+    }
+}
+
 double slotsOf(const std::vector<ReplicaEntry *> &entries)
 {
     double sum = 0;
@@ -74,6 +91,8 @@
         }
     }
     for (auto &[model, pool] : pools_) {
+        correctPeers(pool.ownZone, pool.slotSeconds, now);
+        correctPeers(pool.otherZones, pool.slotSeconds, now);
         pool.ownZoneLoad = meanLoad(pool.ownZone);
         pool.otherZonesLoad = meanLoad(pool.otherZones);
         updateLongShare(pool);
--- a/src/routing/replica_book.h
+++ b/src/routing/replica_book.h
@@ -17,6 +17,7 @@
     double ownZoneLoad = 0; // mean of (requests + 1) / slots
     double otherZonesLoad = 0;
     MovingAverage shortInFlight{0.0005}; // short requests of the whole fleet; 20 s at a refresh every 10 ms
+    double slotSeconds = 0; // that short work holds a slot, mean; 0 when not known
     double longShare = 0.5; // of the slots that long work may hold; the configured share or what short work leaves
 
     std::size_t size() const
@@ -46,6 +47,11 @@
 
     /// Determines anew which replicas are eligible at @p now, and their mean load.
     void refresh(TimePoint now);
+    /// Mean time that short requests of @p model hold a slot, for the correction of late reports.
+    void setSlotSeconds(const ModelId &model, double slotSeconds)
+    {
+        pools_[model].slotSeconds = slotSeconds;
+    }
     /// Eligible replicas of @p model as of the last refresh.
     const ReplicaPool &pool(const ModelId &model) const;
     const std::unordered_map<ModelId, ReplicaPool> &pools() const
--- a/src/routing/replica_entry.cpp
+++ b/src/routing/replica_entry.cpp
@@ -79,6 +79,8 @@
     const double byReport = std::max(0.0, reported - own.inFlight);
     // Report and exchange are independent late samples of the same number; their mean has the smaller error.
     peers_ = isPeerExchangeFresh ? (byReport + view.peerInFlight) / 2 : byReport;
+    peersNow_ = peers_;
+    reportedAt_ = view.load.reportedAt;
     peersLong_ = std::max(0.0, static_cast<double>(view.load.runningLong) - own.inFlightLong);
 }
 
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/routing_snapshot.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 
@@ -59,7 +60,7 @@
     /// Requests of the whole fleet on the replica: own ones plus the last known count of the peers.
     double estimatedLoad() const
     {
-        return inFlight_ + peers_;
+        return inFlight_ + peersNow_;
     }
     /// Like estimatedLoad(), for long work only.
     double estimatedLong() const
@@ -131,6 +132,22 @@
     /// A request counted as short turned out to be long.
     void reclassifyAsLong(TimePoint now);
 
+    /// Short requests of the peers at the last report.
+    double reportedPeersShort() const
+    {
+        return std::max(0.0, peers_ - peersLong_);
+    }
+    /// Moves the peers' short requests towards @p mean of the pool, since they change while the report travels.
+    /// @param reliability 1 for a report of this moment, 0 for one that says nothing any more.
+    void correctPeers(double mean, double reliability)
+    {
+        peersNow_ = peers_ + (1 - reliability) * (mean - reportedPeersShort());
+    }
+    TimePoint reportedAt() const
+    {
+        return reportedAt_;
+    }
+
     /// Takes over load report and peers' counts. @p view must outlive the entry's use or be replaced.
     /// @param salt of this daemon.
     void update(const ReplicaView &view, bool isPeerExchangeFresh, std::uint64_t salt);
@@ -157,7 +174,9 @@
     std::uint32_t ownLongAtReport_ = 0;
     double reportFraction_ = 0;
     double daemonFraction_ = 0;
-    double peers_ = 0;
+    double peers_ = 0; // by the last report and exchange
+    double peersNow_ = 0; // corrected for their age
+    TimePoint reportedAt_{};
     double peersLong_ = 0;
     double weight_ = 1;
     bool isIsolated_ = false;
--- a/src/routing/work_predictor.cpp
+++ b/src/routing/work_predictor.cpp
@@ -18,8 +18,8 @@
 constexpr double PredictedQuantile = 0.75;
 constexpr double MinSamples = 10; // below this a wider group is used, and at last the declared limit
 constexpr double DecayAt = 1000; // samples after which all counts are halved, so that old lengths are forgotten
-constexpr double LongFactor = 8; // times the model's median output
-constexpr double MinLongTokens = 256; // shorter answers end before they block anybody for a noticeable time
+constexpr double LongFactor = 4; // times the model's median output
+constexpr double MinLongTokens = 128; // shorter answers end before they block anybody for a noticeable time
 constexpr double InitialLongTokens = 1024; // until the model has MinSamples
 constexpr std::size_t MaxGroups = 4096; // about 400 bytes each
 constexpr unsigned Bins = 24; // two per doubling over 12 doublings
