Claim slots for long work in turns of 6 s

Cause: each daemon drew anew with each report whether it claims a free slot, so that a slot was claimed about three times before a report showed the first claim. Long work then held the slots kept for short work.

Change: the draw stays the same for 6 s.

--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -58,7 +58,7 @@
 bool CorrectedTwoChoicesChooser::hasRoomForLong(const ReplicaEntry &entry, const ChoiceRequest &request) const
 {
     const double usable = std::max(1.0, std::floor(request.longShare * entry.slots() + entry.fixedFraction()));
-    return entry.estimatedLong() + 1 <= usable && entry.inFlightLong() + 1 <= entry.longClaimLimit(usable, request.claimShare) + entry.reportFraction();
+    return entry.estimatedLong() + 1 <= usable && entry.inFlightLong() + 1 <= entry.longClaimLimit(usable, request.claimShare) + entry.turnFraction();
 }
 
 double CorrectedTwoChoicesChooser::relativeLoad(const ReplicaEntry &entry) const
--- a/src/routing/replica_entry.cpp
+++ b/src/routing/replica_entry.cpp
@@ -12,6 +12,9 @@
 // A report older than this is not corrected any more; it bounds the memory for the history.
 constexpr Duration HistoryLength = seconds(5);
 // Attempts that break within this time of each other belong to one loss of the replica.
+// Daemons claim free slots in turns of this length. Reports show a claim after one to two seconds; with a new turn for each
+// report several daemons would claim the same slot until then.
+constexpr Duration ClaimTurn = seconds(6);
 constexpr Duration SameLoss = seconds(1);
 
 double fractionOf(std::uint64_t hash)
@@ -73,8 +76,8 @@
     const Change own = stateAt(view.load.reportedAt);
     ownLongAtReport_ = own.inFlightLong;
     daemonFraction_ = fractionOf(XXH3_64bits_withSeed(&idHash_, sizeof(idHash_), salt));
-    const auto reportedAt = view.load.reportedAt.time_since_epoch().count();
-    reportFraction_ = fractionOf(XXH3_64bits_withSeed(&reportedAt, sizeof(reportedAt), idHash_ ^ salt));
+    const auto turn = view.load.reportedAt.time_since_epoch() / ClaimTurn;
+    turnFraction_ = fractionOf(XXH3_64bits_withSeed(&turn, sizeof(turn), idHash_ ^ salt));
     const double reported = view.load.running + view.load.queued;
     const double byReport = std::max(0.0, reported - own.inFlight);
     // Report and exchange are independent late samples of the same number; their mean has the smaller error.
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -74,10 +74,10 @@
     {
         return ownLongAtReport_ + share * (slots - ownLongAtReport_ - peersLong_);
     }
-    /// Number in [0, 1) that differs between reports and daemons, for rounding limits so that their sum is right on average.
-    double reportFraction() const
+    /// Number in [0, 1) that changes every few seconds and differs between daemons, for rounding limits so that their sum is right on average.
+    double turnFraction() const
     {
-        return reportFraction_;
+        return turnFraction_;
     }
     /// Number in [0, 1) that stays the same and differs between daemons.
     double daemonFraction() const
@@ -172,7 +172,7 @@
     std::uint32_t inFlightLong_ = 0;
     std::uint32_t starting_ = 0;
     std::uint32_t ownLongAtReport_ = 0;
-    double reportFraction_ = 0;
+    double turnFraction_ = 0;
     double daemonFraction_ = 0;
     double peers_ = 0; // by the last report and exchange
     double peersNow_ = 0; // corrected for their age
