Estimate long work of the peers that was sent as short

Cause: one in five long requests of the workload looks like a short one. Its own daemon reclassifies it, but engines report as long only what was declared so, and the peers gave its slot away twice.

Change: the part of own long requests that were reclassified, over 20 s, scales the peers' reported long requests.

--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -327,7 +327,7 @@
         return;
     }
     const TimePoint now = clock_.now();
-    record.entry->removeInFlight(record.isLong, record.hasFirstToken, now);
+    record.entry->removeInFlight(record.isLong, record.isReclassified, record.hasFirstToken, now);
     if (record.isSuspect) {
         SuspectPlacer::stop(record, quarantine_);
     }
--- a/src/routing/replica_book.cpp
+++ b/src/routing/replica_book.cpp
@@ -13,6 +13,7 @@
 
 // Slots kept for short work: its mean use plus this many standard deviations of a Poisson number.
 constexpr double ShortHeadroomDeviations = 2;
+constexpr double MaxHiddenLong = 0.5; // a larger part is a chance result of few requests
 constexpr double MinShortShare = 1.0 / 8; // kept even after a time without short work, since long work does not end soon
 
 double meanLoad(const std::vector<ReplicaEntry *> &entries)
@@ -91,6 +92,7 @@
         }
     }
     for (auto &[model, pool] : pools_) {
+        updateHiddenLong(pool);
         correctPeers(pool.ownZone, pool.slotSeconds, now);
         correctPeers(pool.otherZones, pool.slotSeconds, now);
         pool.ownZoneLoad = meanLoad(pool.ownZone);
@@ -99,6 +101,27 @@
     }
 }
 
+void ReplicaBook::updateHiddenLong(ReplicaPool &pool)
+{
+    double all = 0;
+    double hidden = 0;
+    for (const auto *zone : {&pool.ownZone, &pool.otherZones}) {
+        for (const ReplicaEntry *entry : *zone) {
+            all += entry->inFlightLong();
+            hidden += entry->reclassified();
+        }
+    }
+    if (all > 0) {
+        pool.hiddenLong.add(hidden / all);
+    }
+    const double factor = 1 / (1 - std::min(MaxHiddenLong, pool.hiddenLong.value()));
+    for (const auto *zone : {&pool.ownZone, &pool.otherZones}) {
+        for (ReplicaEntry *entry : *zone) {
+            entry->setHiddenLongFactor(factor);
+        }
+    }
+}
+
 void ReplicaBook::updateLongShare(ReplicaPool &pool) const
 {
     double slots = 0;
--- a/src/routing/replica_book.h
+++ b/src/routing/replica_book.h
@@ -17,6 +17,7 @@
     double ownZoneLoad = 0; // mean of (requests + 1) / slots
     double otherZonesLoad = 0;
     MovingAverage shortInFlight{0.0005}; // short requests of the whole fleet; 20 s at a refresh every 10 ms
+    MovingAverage hiddenLong{0.0005}; // part of the long requests that were not recognised when they were sent; 20 s
     double slotSeconds = 0; // that short work holds a slot, mean; 0 when not known
     double longShare = 0.5; // of the slots that long work may hold; the configured share or what short work leaves
 
@@ -71,6 +72,7 @@
 
 private:
     void updateLongShare(ReplicaPool &pool) const;
+    static void updateHiddenLong(ReplicaPool &pool);
 
     std::uint64_t salt_;
     RoutingSnapshotPtr snapshot_;
--- a/src/routing/replica_entry.cpp
+++ b/src/routing/replica_entry.cpp
@@ -53,8 +53,9 @@
     record(now);
 }
 
-void ReplicaEntry::removeInFlight(bool isLong, bool hadToken, TimePoint now)
+void ReplicaEntry::removeInFlight(bool isLong, bool isReclassified, bool hadToken, TimePoint now)
 {
+    reclassified_ -= isReclassified ? std::min(reclassified_, 1U) : 0;
     if (!hadToken) {
         noteFirstToken();
     }
@@ -66,6 +67,7 @@
 void ReplicaEntry::reclassifyAsLong(TimePoint now)
 {
     ++inFlightLong_;
+    ++reclassified_;
     record(now);
 }
 
@@ -84,7 +86,9 @@
     peers_ = isPeerExchangeFresh ? (byReport + view.peerInFlight) / 2 : byReport;
     peersNow_ = peers_;
     reportedAt_ = view.load.reportedAt;
-    peersLong_ = std::max(0.0, static_cast<double>(view.load.runningLong) - own.inFlightLong);
+    // The engine counts as long what was declared so; own requests that were reclassified are not among them.
+    const double ownDeclared = own.inFlightLong - std::min(own.inFlightLong, reclassified_);
+    peersLong_ = std::max(0.0, view.load.runningLong - ownDeclared);
 }
 
 void ReplicaEntry::detach()
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -65,14 +65,14 @@
     /// Like estimatedLoad(), for long work only.
     double estimatedLong() const
     {
-        return inFlightLong_ + peersLong_;
+        return inFlightLong_ + peersLong_ * hiddenLongFactor_;
     }
     /// Own long requests that keep the fleet's total at @p slots when every daemon claims its part of the slots that were
     /// free at the last report, or gives up its part of the excess.
     /// @param share of this daemon, 0 to 1.
     double longClaimLimit(double slots, double share) const
     {
-        return ownLongAtReport_ + share * (slots - ownLongAtReport_ - peersLong_);
+        return ownLongAtReport_ + share * (slots - ownLongAtReport_ - peersLong_ * hiddenLongFactor_);
     }
     /// Number in [0, 1) that changes every few seconds and differs between daemons, for rounding limits so that their sum is right on average.
     double turnFraction() const
@@ -128,7 +128,7 @@
 
     void addInFlight(bool isLong, TimePoint now);
     /// @param hadToken whether noteFirstToken() was called for the request.
-    void removeInFlight(bool isLong, bool hadToken, TimePoint now);
+    void removeInFlight(bool isLong, bool isReclassified, bool hadToken, TimePoint now);
     /// A request counted as short turned out to be long.
     void reclassifyAsLong(TimePoint now);
 
@@ -143,6 +143,16 @@
     {
         peersNow_ = peers_ + (1 - reliability) * (mean - reportedPeersShort());
     }
+    /// Own requests that were sent as short work and turned out to be long.
+    std::uint32_t reclassified() const
+    {
+        return reclassified_;
+    }
+    /// @param factor long requests of the peers per one that they declared as long to the engine.
+    void setHiddenLongFactor(double factor)
+    {
+        hiddenLongFactor_ = factor;
+    }
     TimePoint reportedAt() const
     {
         return reportedAt_;
@@ -171,6 +181,8 @@
     std::uint32_t inFlight_ = 0;
     std::uint32_t inFlightLong_ = 0;
     std::uint32_t starting_ = 0;
+    std::uint32_t reclassified_ = 0;
+    double hiddenLongFactor_ = 1;
     std::uint32_t ownLongAtReport_ = 0;
     double turnFraction_ = 0;
     double daemonFraction_ = 0;
