--- a/experiments/short_behind_long.cpp
+++ b/experiments/short_behind_long.cpp
@@ -51,9 +51,8 @@
     return figures;
 }
 
-Figures runOnce(const RoutingPolicy &policy, const Workload &workload, TimePoint start, std::uint64_t seed)
+Figures runOnce(const RoutingPolicy &policy, const Workload &workload, TimePoint start, std::uint64_t seed, FleetSettings settings = {})
 {
-    FleetSettings settings;
     settings.replicas = Replicas;
     settings.policy = policy;
     Fleet fleet(settings, seed);
@@ -98,6 +97,7 @@
                         return r == 0;
                     }};
     Measure longest{.name = "1e longest wait of long work, s", .workload = unloaded.workload};
+    Measure perfect{.name = "1f as 1a, with reports without delay", .workload = unloaded.workload};
     for (const std::uint64_t seed : options.seeds) {
         RandomGenerator random(seed + 500);
         const double capacity = Replicas * saturatedRate(EngineSettings(), mixedLengths(random, 100, LongPart, start, start + seconds(100)));
@@ -106,6 +106,13 @@
         const Figures alone = runOnce(chosen, idle, start, seed);
         const Figures first = runOnce(fifo, workload, start, seed);
         const Figures second = runOnce(chosen, workload, start, seed);
+        FleetSettings informed;
+        informed.reportPeriod = milliseconds(10);
+        informed.reportLag = Duration::zero();
+        const Figures third = runOnce(chosen, workload, start, seed, informed);
+        perfect.baseline.push_back(alone.shortP99);
+        perfect.chosen.push_back(third.shortP99);
+        perfect.ratio.push_back(third.shortP99 / alone.shortP99);
         unloaded.baseline.push_back(alone.shortP99);
         unloaded.chosen.push_back(second.shortP99);
         unloaded.ratio.push_back(second.shortP99 / alone.shortP99);
@@ -122,7 +129,7 @@
         longest.chosen.push_back(second.longestWait);
         longest.ratio.push_back(second.longestWait / std::max(1e-3, first.longestWait));
     }
-    return {unloaded, against, throughput, starved, longest};
+    return {unloaded, against, throughput, starved, longest, perfect};
 }
 
 }
--- a/src/routing/admission_queue.h
+++ b/src/routing/admission_queue.h
@@ -43,7 +43,8 @@
     /// The item to serve next, skipping the tickets in @p blocked and, with @p isLongBlocked, all long work; null when none.
     /// When the item cannot be placed, @p blocked or @p isLongBlocked tell so in the next call.
     virtual const QueueItem *next(TimePoint now, const ShareView &shares, std::span<const std::uint64_t> blocked, bool isLongBlocked) const = 0;
-    /// Whether other items may be served while one finds no replica with room.
+    /// Whether other items may be served while one finds no replica with room. Without that there is no cap on long work,
+    /// since a long item at the head would hold up everything.
     virtual bool mayPassOver() const = 0;
     /// Tickets whose deadline is before @p now.
     virtual std::vector<std::uint64_t> expired(TimePoint now) const = 0;
--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -52,7 +52,7 @@
     if (request.isElastic && entry.inFlight() + 1 > std::floor(usable * request.claimShare + entry.daemonFraction())) {
         return false;
     }
-    return !request.isLong || hasRoomForLong(entry, request);
+    return !request.isLong || request.longShare >= 1 || hasRoomForLong(entry, request);
 }
 
 bool CorrectedTwoChoicesChooser::hasRoomForLong(const ReplicaEntry &entry, const ChoiceRequest &request) const
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -438,8 +438,12 @@
 {
     const CustomerAccounts &accounts = admission_.accounts();
     const bool isWithinShare = accounts.usedShare(record.request.customer, record.isLong) < 1;
-    const bool hasQueue = admission_.queue(record.request.model).size() > 1;
-    return {.keepFree = isWithinShare ? 0 : OverShareHeadroom, .claimShare = accounts.claimShare(), .isElastic = !isWithinShare || (hasQueue && record.isLong)};
+    const AdmissionQueue &queue = admission_.queue(record.request.model);
+    const bool hasQueue = queue.size() > 1;
+    return {.keepFree = isWithinShare ? 0 : OverShareHeadroom,
+            .claimShare = accounts.claimShare(),
+            .isElastic = !isWithinShare || (hasQueue && record.isLong),
+            .capsLongWork = queue.mayPassOver()};
 }
 
 Refusal LocalDispatcher::waitingRefusal(const RequestRecord &record)
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -44,7 +44,7 @@
                           .keepFree = limits.keepFree,
                           .claimShare = limits.claimShare,
                           .isElastic = limits.isElastic,
-                          .longShare = pool.longShare,
+                          .longShare = limits.capsLongWork ? pool.longShare : 1,
                           .meanRelativeLoad = pool.ownZoneLoad,
                           .holders = prefixes_.holdersOfLongest(record.request.prefixHashes)};
     Choice choice = selectFrom(pool.ownZone, record, book, request, now);
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -27,6 +27,7 @@
         double keepFree = 0; // part of a replica's slots that must stay free
         double claimShare = 1; // this daemon's part of free slots
         bool isElastic = false;
+        bool capsLongWork = true;
     };
     Choice select(RequestRecord &record, const ReplicaBook &book, const Quarantine &quarantine, const Limits &limits, TimePoint now);
     double load(const ReplicaEntry &entry) const
