Keep a fifth of the slots free for customers within their share

Cause: with an eighth kept free these customers still queued in the engine during the peak. An ejected straggler got more traffic after 10 s without a judgement, while it was still slow.

Change: work above its share leaves a fifth free; without a judgement an ejected replica moves up after 30 s.

--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -14,7 +14,7 @@
 constexpr Duration ResumeWait = seconds(2);
 constexpr Duration DefaultRetryAfter = seconds(1);
 // Part of a replica's slots that customers above their share leave free for the others.
-constexpr double OverShareHeadroom = 1.0 / 8;
+constexpr double OverShareHeadroom = 1.0 / 5;
 }
 
 std::unique_ptr<Dispatcher> makeDispatcher(const Clock &clock, std::uint64_t seed)
--- a/src/routing/outlier_ejector.cpp
+++ b/src/routing/outlier_ejector.cpp
@@ -14,7 +14,7 @@
 constexpr unsigned RoundsToEject = 2;
 constexpr Duration EvaluationPeriod = milliseconds(500);
 constexpr Duration StepTime = seconds(2); // between steps of re-entry
-constexpr Duration IdleStepTime = seconds(10); // when too little traffic reaches the replica to judge it
+constexpr Duration IdleStepTime = seconds(30); // when too little traffic reaches the replica to judge it
 constexpr std::array ReentryWeights{0.05, 0.25, 0.5};
 constexpr std::size_t MaxEjectedDivisor = 3;
 constexpr double StallTokenTime = 5e6; // microseconds
