--- a/experiments/peak_demand.cpp
+++ b/experiments/peak_demand.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::size_t Replicas = 16;
+constexpr std::uint32_t SmallBatch = 8;
+constexpr std::uint32_t LargeBatch = 32; // at which a step takes about the 45 ms between tokens of design section 1.7
 constexpr double BaseLoad = 0.4;
 constexpr double PeakLoad = 2.5;
 constexpr Duration Calm = seconds(60); // before the peak
@@ -20,10 +22,12 @@
 constexpr Duration Recovery = seconds(3);
 constexpr Duration Afterwards = seconds(30);
 constexpr const char *FloodingCustomer = "customer-0";
-constexpr std::uint32_t LongestAnswer = 180; // tokens, drafts of a few sentences
+constexpr std::uint32_t ShortestAnswer = 20; // tokens
+constexpr std::uint32_t LongestAnswer = 180; // drafts of a few sentences
+constexpr double MeanTokens = (ShortestAnswer + LongestAnswer) / 2.0;
 
 struct Figures {
-    double goodput = 0; // of the capacity during the peak
+    double goodput = 0; // useful tokens over the tokens of permanently full engines, during the peak
     double calmP95 = 0; // seconds to the first token of the other customers before the peak
     double peakP95 = 0; // during it; a refused or late request counts as its deadline
     double refused = 0; // part of the other customers' requests that got no useful answer during the peak
@@ -49,7 +53,7 @@
         }
     }
     for (Arrival &arrival : workload) {
-        arrival.outputTokens = uniform(random, 20, LongestAnswer);
+        arrival.outputTokens = uniform(random, ShortestAnswer, LongestAnswer);
         arrival.maxTokens = 256;
     }
     sortByTime(workload);
@@ -62,6 +66,18 @@
     return outcome.hasFirstToken() ? outcome.firstTokenSeconds() : limit;
 }
 
+/// Tokens of a useful answer that were generated in [from, to), at an even pace. Whole answers would be counted by their
+/// end, which puts the work of the first seconds of a peak before it.
+double usefulTokensIn(const Outcome &outcome, TimePoint from, TimePoint to)
+{
+    if (!outcome.isUseful()) {
+        return 0;
+    }
+    const auto length = static_cast<double>(std::max<Duration::rep>(1, (outcome.doneAt - outcome.firstTokenAt).count()));
+    const auto inside = static_cast<double>((std::min(outcome.doneAt, to) - std::max(outcome.firstTokenAt, from)).count());
+    return outcome.tokens * std::clamp(inside / length, 0.0, 1.0);
+}
+
 Figures figuresOf(const std::vector<Outcome> &outcomes, double capacity, TimePoint start)
 {
     const TimePoint peakStart = start + Calm;
@@ -78,9 +94,7 @@
     for (const Outcome &outcome : outcomes) {
         const TimePoint at = outcome.arrival->at;
         const bool isFlood = outcome.arrival->customer == FloodingCustomer;
-        if (outcome.isUseful() && outcome.doneAt >= full && outcome.doneAt < end) {
-            useful += 1;
-        }
+        useful += usefulTokensIn(outcome, full, end);
         if (at >= start + seconds(10) && at < peakStart && !isFlood) {
             calm.push_back(waitOf(outcome));
         }
@@ -98,7 +112,7 @@
         attempts += outcome.attempts;
         granted += outcome.attempts > 0 ? 1 : 0;
     }
-    figures.goodput = useful / (capacity * std::chrono::duration<double>(Peak).count());
+    figures.goodput = useful / (capacity * MeanTokens * std::chrono::duration<double>(Peak).count());
     figures.calmP95 = quantile(std::move(calm), 0.95);
     figures.peakP95 = quantile(std::move(peak), 0.95);
     figures.afterP95 = quantile(std::move(after), 0.95);
@@ -107,27 +121,28 @@
     return figures;
 }
 
-Figures runOnce(const RoutingPolicy &policy, const Workload &workload, double capacity, TimePoint start, std::uint64_t seed)
+Figures runOnce(const RoutingPolicy &policy, const EngineSettings &engine, const Workload &workload, double capacity, TimePoint start, std::uint64_t seed)
 {
     FleetSettings settings;
     settings.replicas = Replicas;
+    settings.engine = engine;
     settings.policy = policy;
     Fleet fleet(settings, seed);
     return figuresOf(fleet.run(workload, start + Calm + Ramp + Peak + Afterwards), capacity, start);
 }
 
-}
-
-std::vector<Measure> measurePeakDemand(const RunOptions &options)
+std::vector<Measure> measureWithSlots(const RunOptions &options, std::uint32_t slots)
 {
+    EngineSettings engine;
+    engine.slots = slots;
     RoutingPolicy baseline;
     baseline.replicaChoice = "round_robin";
     baseline.queueOrder = "fifo";
     baseline.admission = "unbounded";
     const RoutingPolicy chosen;
     const TimePoint start = EventLoop().now();
-    const std::string workload = "40% to 250% within 2 s for 30 s, one customer of ten floods";
-    Measure goodput{.name = "2a goodput over capacity", .workload = workload, .target = ">= 0.95", .isMet = [](double r) {
+    const std::string workload = "40% to 250% within 2 s for 30 s, one customer of ten floods, " + std::to_string(slots) + " slots a replica";
+    Measure goodput{.name = "2a useful tokens over capacity", .workload = workload, .target = ">= 0.95", .isMet = [](double r) {
                         return r >= 0.95;
                     }};
     Measure others{
@@ -146,10 +161,10 @@
                     }};
     for (const std::uint64_t seed : options.seeds) {
         const Workload mix = makeWorkload(seed + 500, 20, start);
-        const double capacity = Replicas * saturatedRate(EngineSettings(), mix);
+        const double capacity = Replicas * saturatedRate(engine, mix);
         const Workload requests = makeWorkload(seed, capacity, start);
-        const Figures first = runOnce(baseline, requests, capacity, start, seed);
-        const Figures second = runOnce(chosen, requests, capacity, start, seed);
+        const Figures first = runOnce(baseline, engine, requests, capacity, start, seed);
+        const Figures second = runOnce(chosen, engine, requests, capacity, start, seed);
         const auto add = [](Measure &measure, double a, double b, double ratio) {
             measure.baseline.push_back(a);
             measure.chosen.push_back(b);
@@ -166,3 +181,13 @@
 }
 
 }
+
+std::vector<Measure> measurePeakDemand(const RunOptions &options)
+{
+    std::vector<Measure> measures = measureWithSlots(options, SmallBatch);
+    const std::vector<Measure> more = measureWithSlots(options, LargeBatch);
+    measures.insert(measures.end(), more.begin(), more.end());
+    return measures;
+}
+
+}
--- a/experiments/short_behind_long.cpp
+++ b/experiments/short_behind_long.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr double Load = 0.85;
+constexpr double IdleLoad = 0.1; // with long work in the capacity but none in the workload: a request or two at a time
 constexpr double LongPart = 0.1;
 constexpr std::size_t Replicas = 4; // of one model at one site
 constexpr Duration WarmUp = seconds(200);
@@ -50,9 +51,8 @@
     return figures;
 }
 
-Figures runOnce(const RoutingPolicy &policy, const Workload &workload, TimePoint start, std::uint64_t seed)
+Figures runOnce(const RoutingPolicy &policy, const Workload &workload, TimePoint start, std::uint64_t seed, FleetSettings settings = {})
 {
-    FleetSettings settings;
     settings.replicas = Replicas;
     settings.policy = policy;
     Fleet fleet(settings, seed);
@@ -97,14 +97,22 @@
                         return r == 0;
                     }};
     Measure longest{.name = "1e longest wait of long work, s", .workload = unloaded.workload};
+    Measure perfect{.name = "1f as 1a, with reports without delay", .workload = unloaded.workload};
     for (const std::uint64_t seed : options.seeds) {
         RandomGenerator random(seed + 500);
         const double capacity = Replicas * saturatedRate(EngineSettings(), mixedLengths(random, 100, LongPart, start, start + seconds(100)));
         const Workload workload = makeWorkload(seed, Load * capacity, LongPart, start);
-        const Workload idle = makeWorkload(seed, 0.02 * capacity, 0, start);
+        const Workload idle = makeWorkload(seed, IdleLoad * capacity, 0, start);
         const Figures alone = runOnce(chosen, idle, start, seed);
         const Figures first = runOnce(fifo, workload, start, seed);
         const Figures second = runOnce(chosen, workload, start, seed);
+        FleetSettings informed;
+        informed.reportPeriod = milliseconds(10);
+        informed.reportLag = Duration::zero();
+        const Figures third = runOnce(chosen, workload, start, seed, informed);
+        perfect.baseline.push_back(alone.shortP99);
+        perfect.chosen.push_back(third.shortP99);
+        perfect.ratio.push_back(third.shortP99 / alone.shortP99);
         unloaded.baseline.push_back(alone.shortP99);
         unloaded.chosen.push_back(second.shortP99);
         unloaded.ratio.push_back(second.shortP99 / alone.shortP99);
@@ -121,7 +129,7 @@
         longest.chosen.push_back(second.longestWait);
         longest.ratio.push_back(second.longestWait / std::max(1e-3, first.longestWait));
     }
-    return {unloaded, against, throughput, starved, longest};
+    return {unloaded, against, throughput, starved, longest, perfect};
 }
 
 }
--- a/src/routing/admission_queue.h
+++ b/src/routing/admission_queue.h
@@ -22,12 +22,13 @@
     TimePoint deadline;
 };
 
-/// Slots that a customer holds relative to its share; the queue serves the lowest ratio first.
+/// Slots that a customer's short or long work holds relative to its share; the queue serves the lowest ratio first. The
+/// classes count apart, because the slots of long work are bounded and must not hold up the customer's short work.
 class ShareView
 {
 public:
     virtual ~ShareView() = default;
-    virtual double usedShare(const CustomerId &customer) const = 0;
+    virtual double usedShare(const CustomerId &customer, bool isLong) const = 0;
 };
 
 /// Strategy for the order in which the waiting requests of one model are served.
@@ -42,7 +43,8 @@
     /// The item to serve next, skipping the tickets in @p blocked and, with @p isLongBlocked, all long work; null when none.
     /// When the item cannot be placed, @p blocked or @p isLongBlocked tell so in the next call.
     virtual const QueueItem *next(TimePoint now, const ShareView &shares, std::span<const std::uint64_t> blocked, bool isLongBlocked) const = 0;
-    /// Whether other items may be served while one finds no replica with room.
+    /// Whether other items may be served while one finds no replica with room. Without that there is no cap on long work,
+    /// since a long item at the head would hold up everything.
     virtual bool mayPassOver() const = 0;
     /// Tickets whose deadline is before @p now.
     virtual std::vector<std::uint64_t> expired(TimePoint now) const = 0;
--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -13,6 +13,9 @@
 // A replica that caches the prefix is used up to this much above the mean load.
 constexpr double AffinityLoadFactor = 1.25;
 constexpr unsigned Samples = 2;
+// Own requests without a first token on a replica, above which work above its share waits in the daemon: there it can still
+// be placed elsewhere or refused in time.
+constexpr std::uint32_t MaxStarting = 1;
 }
 
 Choice CorrectedTwoChoicesChooser::choose(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random)
@@ -26,7 +29,7 @@
         choice.entry = byTwoChoices(candidates, request, random, choice);
     }
     if (!choice.entry) {
-        choice.entry = byScan(candidates, request, choice);
+        choice.entry = byScan(candidates, request, random, choice);
     }
     return choice;
 }
@@ -43,16 +46,19 @@
     if (load(entry) + 1 > usable) {
         return false;
     }
-    if (request.isElastic && entry.inFlight() + 1 > entry.claimLimit(usable, request.claimShare) + entry.reportFraction()) {
+    if (request.isElastic && entry.starting() >= MaxStarting) {
         return false;
     }
-    return !request.isLong || hasRoomForLong(entry, request);
+    if (request.isElastic && entry.inFlight() + 1 > std::floor(usable * request.claimShare + entry.daemonFraction())) {
+        return false;
+    }
+    return !request.isLong || request.longShare >= 1 || hasRoomForLong(entry, request);
 }
 
 bool CorrectedTwoChoicesChooser::hasRoomForLong(const ReplicaEntry &entry, const ChoiceRequest &request) const
 {
     const double usable = std::max(1.0, std::floor(request.longShare * entry.slots() + entry.fixedFraction()));
-    return entry.estimatedLong() + 1 <= usable && entry.inFlightLong() + 1 <= entry.longClaimLimit(usable, request.claimShare) + entry.reportFraction();
+    return entry.estimatedLong() + 1 <= usable && entry.inFlightLong() + 1 <= entry.longClaimLimit(usable, request.claimShare) + entry.turnFraction();
 }
 
 double CorrectedTwoChoicesChooser::relativeLoad(const ReplicaEntry &entry) const
@@ -112,18 +118,30 @@
     return best;
 }
 
-ReplicaEntry *CorrectedTwoChoicesChooser::byScan(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, Choice &choice) const
+ReplicaEntry *
+CorrectedTwoChoicesChooser::byScan(std::span<ReplicaEntry *const> candidates, const ChoiceRequest &request, RandomGenerator &random, Choice &choice) const
 {
-    ReplicaEntry *best = nullptr;
-    for (ReplicaEntry *entry : candidates) {
-        if (hasRoom(*entry, request) && (!best || std::pair(-entry->weight(), relativeLoad(*entry)) < std::pair(-best->weight(), relativeLoad(*best)))) {
-            best = entry;
+    std::vector<ReplicaEntry *> withRoom;
+    for (const bool isHealthy : {true, false}) {
+        for (ReplicaEntry *entry : candidates) {
+            if ((entry->weight() >= 1) == isHealthy && hasRoom(*entry, request)) {
+                withRoom.push_back(entry);
+            }
+        }
+        if (!withRoom.empty()) {
+            break;
         }
     }
-    if (best) {
-        choice.reason = "least loaded with room";
-        choice.considered.push_back(best);
+    if (withRoom.empty()) {
+        return nullptr;
     }
+    // The least loaded of all would be the same for all daemons until the next report, and they would overload it together.
+    std::uniform_int_distribution<std::size_t> index(0, withRoom.size() - 1);
+    ReplicaEntry *first = withRoom[index(random)];
+    ReplicaEntry *second = withRoom[index(random)];
+    ReplicaEntry *best = relativeLoad(*second) < relativeLoad(*first) ? second : first;
+    choice.reason = "less loaded of two with room";
+    choice.considered.push_back(best);
     return best;
 }
 
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -14,7 +14,7 @@
 constexpr Duration ResumeWait = seconds(2);
 constexpr Duration DefaultRetryAfter = seconds(1);
 // Part of a replica's slots that customers above their share leave free for the others.
-constexpr double OverShareHeadroom = 1.0 / 16;
+constexpr double OverShareHeadroom = 1.0 / 5;
 }
 
 std::unique_ptr<Dispatcher> makeDispatcher(const Clock &clock, std::uint64_t seed)
@@ -104,7 +104,9 @@
     RequestRecord &record = found->second;
     const TimePoint now = clock_.now();
     if (record.tokens == 0) {
-        admission_.noteFirstToken(record.request.model, now - record.grantedAt);
+        admission_.noteFirstToken(record, now - record.grantedAt);
+        record.entry->noteFirstToken();
+        record.hasFirstToken = true;
     } else {
         ejector_.addTokenTime(record.entry->id(), (now - record.lastProgressAt) / (tokens - record.tokens));
     }
@@ -114,6 +116,7 @@
         record.isLong = true;
         record.isReclassified = true;
         record.entry->reclassifyAsLong(now);
+        admission_.accounts().reclassifyAsLong(record.request.customer);
     }
 }
 
@@ -169,6 +172,9 @@
             return;
         }
         evaluateOutliers();
+        for (const ModelId &model : admission_.models()) {
+            book_.setSlotSeconds(model, admission_.shortSlotSeconds(model));
+        }
         book_.refresh(clock_.now());
         updateShares();
         quarantine_.expire(clock_.now());
@@ -295,8 +301,9 @@
         decision.considered.push_back(entry->id().str() + "=" + std::to_string(std::lround(selector_.load(*entry))));
     }
     decision.priority = priorityOf(record);
+    record.isOverShare = admission_.accounts().usedShare(record.request.customer, record.isLong) >= 1;
     admission_.remove(ticket, record);
-    admission_.accounts().addInFlight(record.request.customer);
+    admission_.accounts().addInFlight(record.request.customer, record.isLong);
     record.entry = book_.find(choice.entry->id());
     record.entry->addInFlight(record.isLong, now);
     if (quarantine_.isSuspect(record.request.fingerprint)) {
@@ -320,11 +327,11 @@
         return;
     }
     const TimePoint now = clock_.now();
-    record.entry->removeInFlight(record.isLong, now);
+    record.entry->removeInFlight(record.isLong, record.isReclassified, record.hasFirstToken, now);
     if (record.isSuspect) {
         SuspectPlacer::stop(record, quarantine_);
     }
-    admission_.accounts().removeInFlight(record.request.customer);
+    admission_.accounts().removeInFlight(record.request.customer, record.isLong);
     record.state = RequestRecord::State::Finished;
     finished_.emplace_back(now, ticket);
 }
@@ -430,9 +437,13 @@
 ReplicaSelector::Limits LocalDispatcher::limitsFor(const RequestRecord &record)
 {
     const CustomerAccounts &accounts = admission_.accounts();
-    const bool isWithinShare = accounts.usedShare(record.request.customer) < 1;
-    const bool hasQueue = admission_.queue(record.request.model).size() > 1;
-    return {.keepFree = isWithinShare ? 0 : OverShareHeadroom, .claimShare = accounts.claimShare(), .isElastic = hasQueue && (!isWithinShare || record.isLong)};
+    const bool isWithinShare = accounts.usedShare(record.request.customer, record.isLong) < 1;
+    const AdmissionQueue &queue = admission_.queue(record.request.model);
+    const bool hasQueue = queue.size() > 1;
+    return {.keepFree = isWithinShare ? 0 : OverShareHeadroom,
+            .claimShare = accounts.claimShare(),
+            .isElastic = !isWithinShare || (hasQueue && record.isLong),
+            .capsLongWork = queue.mayPassOver()};
 }
 
 Refusal LocalDispatcher::waitingRefusal(const RequestRecord &record)
@@ -446,7 +457,7 @@
 std::uint32_t LocalDispatcher::priorityOf(const RequestRecord &record) const
 {
     // Customers within their share first, then short work first.
-    return (admission_.accounts().usedShare(record.request.customer) < 1 ? 0 : 2) + (record.isLong ? 1 : 0);
+    return (admission_.accounts().usedShare(record.request.customer, record.isLong) < 1 ? 0 : 2) + (record.isLong ? 1 : 0);
 }
 
 void LocalDispatcher::applyPolicy(const RoutingPolicy &policy)
--- a/src/routing/replica_book.cpp
+++ b/src/routing/replica_book.cpp
@@ -13,6 +13,7 @@
 
 // Slots kept for short work: its mean use plus this many standard deviations of a Poisson number.
 constexpr double ShortHeadroomDeviations = 2;
+constexpr double MaxHiddenLong = 0.5; // a larger part is a chance result of few requests
 constexpr double MinShortShare = 1.0 / 8; // kept even after a time without short work, since long work does not end soon
 
 double meanLoad(const std::vector<ReplicaEntry *> &entries)
@@ -24,6 +25,23 @@
     return entries.empty() ? 0 : sum / static_cast<double>(entries.size());
 }
 
+/// Of the requests that a report counted, a part that shrinks with its age is still there; the others were replaced by
+/// requests that are spread like the mean.
+void correctPeers(const std::vector<ReplicaEntry *> &entries, double slotSeconds, TimePoint now)
+{
+    if (entries.empty() || slotSeconds <= 0) {
+        return;
+    }
+    double mean = 0;
+    for (const ReplicaEntry *entry : entries) {
+        mean += entry->reportedPeersShort() / static_cast<double>(entries.size());
+    }
+    for (ReplicaEntry *entry : entries) {
+        const double age = std::chrono::duration<double>(now - entry->reportedAt()).count();
+        entry->correctPeers(mean, std::exp(-age / slotSeconds));
+    }
+}
+
 double slotsOf(const std::vector<ReplicaEntry *> &entries)
 {
     double sum = 0;
@@ -74,12 +92,36 @@
         }
     }
     for (auto &[model, pool] : pools_) {
+        updateHiddenLong(pool);
+        correctPeers(pool.ownZone, pool.slotSeconds, now);
+        correctPeers(pool.otherZones, pool.slotSeconds, now);
         pool.ownZoneLoad = meanLoad(pool.ownZone);
         pool.otherZonesLoad = meanLoad(pool.otherZones);
         updateLongShare(pool);
     }
 }
 
+void ReplicaBook::updateHiddenLong(ReplicaPool &pool)
+{
+    double all = 0;
+    double hidden = 0;
+    for (const auto *zone : {&pool.ownZone, &pool.otherZones}) {
+        for (const ReplicaEntry *entry : *zone) {
+            all += entry->inFlightLong();
+            hidden += entry->reclassified();
+        }
+    }
+    if (all > 0) {
+        pool.hiddenLong.add(hidden / all);
+    }
+    const double factor = 1 / (1 - std::min(MaxHiddenLong, pool.hiddenLong.value()));
+    for (const auto *zone : {&pool.ownZone, &pool.otherZones}) {
+        for (ReplicaEntry *entry : *zone) {
+            entry->setHiddenLongFactor(factor);
+        }
+    }
+}
+
 void ReplicaBook::updateLongShare(ReplicaPool &pool) const
 {
     double slots = 0;
--- a/src/routing/replica_entry.h
+++ b/src/routing/replica_entry.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/routing_snapshot.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 
@@ -47,32 +48,41 @@
     {
         return inFlightLong_;
     }
+    /// Own requests that have not got their first token.
+    std::uint32_t starting() const
+    {
+        return starting_;
+    }
+    void noteFirstToken()
+    {
+        starting_ -= starting_ > 0 ? 1 : 0;
+    }
     /// Requests of the whole fleet on the replica: own ones plus the last known count of the peers.
     double estimatedLoad() const
     {
-        return inFlight_ + peers_;
+        return inFlight_ + peersNow_;
     }
     /// Like estimatedLoad(), for long work only.
     double estimatedLong() const
     {
-        return inFlightLong_ + peersLong_;
+        return inFlightLong_ + peersLong_ * hiddenLongFactor_;
     }
-    /// Own requests that keep the fleet's total at @p slots when every daemon claims its part of the slots that were free
-    /// at the last report, or gives up its part of the excess.
+    /// Own long requests that keep the fleet's total at @p slots when every daemon claims its part of the slots that were
+    /// free at the last report, or gives up its part of the excess.
     /// @param share of this daemon, 0 to 1.
-    double claimLimit(double slots, double share) const
+    double longClaimLimit(double slots, double share) const
     {
-        return ownAtReport_ + share * (slots - ownAtReport_ - peers_);
+        return ownLongAtReport_ + share * (slots - ownLongAtReport_ - peersLong_ * hiddenLongFactor_);
     }
-    /// Like claimLimit(), for long work only.
-    double longClaimLimit(double slots, double share) const
+    /// Number in [0, 1) that changes every few seconds and differs between daemons, for rounding limits so that their sum is right on average.
+    double turnFraction() const
     {
-        return ownLongAtReport_ + share * (slots - ownLongAtReport_ - peersLong_);
+        return turnFraction_;
     }
-    /// Number in [0, 1) that differs between reports and daemons, for rounding limits so that their sum is right on average.
-    double reportFraction() const
+    /// Number in [0, 1) that stays the same and differs between daemons.
+    double daemonFraction() const
     {
-        return reportFraction_;
+        return daemonFraction_;
     }
     /// Number in [0, 1) that is the same at all daemons, for rounding limits that all of them have to agree on.
     double fixedFraction() const;
@@ -117,10 +127,37 @@
     }
 
     void addInFlight(bool isLong, TimePoint now);
-    void removeInFlight(bool isLong, TimePoint now);
+    /// @param hadToken whether noteFirstToken() was called for the request.
+    void removeInFlight(bool isLong, bool isReclassified, bool hadToken, TimePoint now);
     /// A request counted as short turned out to be long.
     void reclassifyAsLong(TimePoint now);
 
+    /// Short requests of the peers at the last report.
+    double reportedPeersShort() const
+    {
+        return std::max(0.0, peers_ - peersLong_);
+    }
+    /// Moves the peers' short requests towards @p mean of the pool, since they change while the report travels.
+    /// @param reliability 1 for a report of this moment, 0 for one that says nothing any more.
+    void correctPeers(double mean, double reliability)
+    {
+        peersNow_ = peers_ + (1 - reliability) * (mean - reportedPeersShort());
+    }
+    /// Own requests that were sent as short work and turned out to be long.
+    std::uint32_t reclassified() const
+    {
+        return reclassified_;
+    }
+    /// @param factor long requests of the peers per one that they declared as long to the engine.
+    void setHiddenLongFactor(double factor)
+    {
+        hiddenLongFactor_ = factor;
+    }
+    TimePoint reportedAt() const
+    {
+        return reportedAt_;
+    }
+
     /// Takes over load report and peers' counts. @p view must outlive the entry's use or be replaced.
     /// @param salt of this daemon.
     void update(const ReplicaView &view, bool isPeerExchangeFresh, std::uint64_t salt);
@@ -143,10 +180,15 @@
     const ReplicaView *view_ = nullptr;
     std::uint32_t inFlight_ = 0;
     std::uint32_t inFlightLong_ = 0;
-    std::uint32_t ownAtReport_ = 0;
+    std::uint32_t starting_ = 0;
+    std::uint32_t reclassified_ = 0;
+    double hiddenLongFactor_ = 1;
     std::uint32_t ownLongAtReport_ = 0;
-    double reportFraction_ = 0;
-    double peers_ = 0;
+    double turnFraction_ = 0;
+    double daemonFraction_ = 0;
+    double peers_ = 0; // by the last report and exchange
+    double peersNow_ = 0; // corrected for their age
+    TimePoint reportedAt_{};
     double peersLong_ = 0;
     double weight_ = 1;
     bool isIsolated_ = false;
