--- a/src/idempotency/claim_outcomes.cpp
+++ b/src/idempotency/claim_outcomes.cpp
@@ -202,11 +202,11 @@
     const auto limit = dependencies_.wallTime() - std::chrono::duration_cast<WallTime>(settings_.keys.retention + settings_.cleanupMargin);
     while (cleanupAllowance_ >= 1 && !expiring_.empty() && expiring_.begin()->first < limit) {
         cleanupAllowance_ -= 1;
-        const auto oldest = expiring_.extract(expiring_.begin());
-        dependencies_.objects->remove(ObjectKind, oldest.mapped(), WriteCondition::always(),
-                                      [this, alive = alive_, time = oldest.key(), name = oldest.mapped()](std::error_code error) {
+        const auto oldest = expiring_.extract(expiring_.begin()).value();
+        dependencies_.objects->remove(ObjectKind, oldest.second, WriteCondition::always(),
+                                      [this, alive = alive_, oldest](std::error_code error) {
                                           if (*alive && error && error != ResultCode::ObjectNotFound && expiring_.size() < settings_.maxKeptForCleanup) {
-                                              expiring_.emplace(time, name);
+                                              expiring_.insert(oldest);
                                           }
                                       });
     }
--- a/src/idempotency/claim_store.h
+++ b/src/idempotency/claim_store.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace carawaypoint
@@ -124,7 +125,7 @@
     ClaimStoreSettings settings_;
     RandomGenerator random_;
     std::map<std::string, Claim> claims_; // by token
-    std::multimap<WallTime, std::string> expiring_; // names of claims by the time of their keys
+    std::set<std::pair<WallTime, std::string>> expiring_; // times of keys and names of claims
     std::uint64_t highestRevision_ = 0;
     std::optional<WallTime> restoredAt_;
     TimePoint lastCleanup_{};
--- a/src/serving/service_call.cpp
+++ b/src/serving/service_call.cpp
@@ -120,7 +120,9 @@
     if (!shared_.claims.isUsed()) {
         co_return fail(ResultCode::ClaimUnavailable, RunState::NotRun, "this entry has no claims", AskAgain);
     }
-    auto begin = co_await shared_.claims.begin(loop_, {request_.service, request_.key, fingerprintOf(request_), request_.id});
+    // Named, since GCC 12 destroys a braced temporary inside a co_await expression twice.
+    ClaimCall call{request_.service, request_.key, fingerprintOf(request_), request_.id};
+    auto begin = co_await shared_.claims.begin(loop_, std::move(call));
     if (begin.code == ResultCode::OkReplayed) {
         Reply reply;
         reply.code = begin.code;
