--- a/src/serving/service_call.cpp
+++ b/src/serving/service_call.cpp
@@ -120,7 +120,7 @@
     if (!shared_.claims.isUsed()) {
         co_return fail(ResultCode::ClaimUnavailable, RunState::NotRun, "this entry has no claims", AskAgain);
     }
-    // A named object: GCC 12 copies an aggregate temporary in a co_await expression byte by byte, which breaks its strings.
+    // Named, since GCC 12 destroys a braced temporary inside a co_await expression twice.
     ClaimCall call{request_.service, request_.key, fingerprintOf(request_), request_.id};
     auto begin = co_await shared_.claims.begin(loop_, std::move(call));
     if (begin.code == ResultCode::OkReplayed) {
