Reduce the cost of exchanges and measure it

Change: load is a kind of its own that stays within its zone, readers of other zones count only what they get, sums for other zones are bounded and sent every 5 s, 16-bit stamps that are left out after 60 s, two peers a period in zones below 10 members and three above instead of four. Ruled out: 16-bit stamps without an age limit. A first trial took foreign servers for seen in the future, since ZoneFreshness held a full time; serversOfACutOffZoneStayStale guards it over 13 minutes.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -57,6 +57,11 @@
     list_.restartSuspicions(now);
 }
 
+unsigned MemberTable::peersPerPeriod() const
+{
+    return list_.live(list_.self().zone).size() < options_.largeZone ? options_.peersPerPeriod : options_.peersInLargeZone;
+}
+
 std::vector<OutgoingExchange> MemberTable::tick(TimePoint now)
 {
     noticePause(now);
@@ -71,9 +76,12 @@
     updateAlone();
     publishDemand(now);
     expireSignals(now);
+    expireZoneEntries(now);
 
     std::vector<OutgoingExchange> out;
-    const bool isPeriodStart = tickCount_++ % options_.peersPerPeriod == 0;
+    // Ticks jitter by a twentieth.
+    const bool isPeriodStart = now - periodStart_ >= options_.period * 9 / 10;
+    periodStart_ = isPeriodStart ? now : periodStart_;
     if (const auto peer = nextPeer()) {
         out.push_back({*peer, messageFor(list_.self().zone, now)});
     }
@@ -213,7 +221,7 @@
     message.platformRevision = platformRevision_;
     message.isFull = true;
     message.members = list_.all();
-    message.stamps = state_.allStamps();
+    message.stamps = state_.allStamps(now);
     message.deltas = state_.allDeltas();
     message.summary = summaryFor({}, now);
     return message;
@@ -234,7 +242,7 @@
     if (const auto known = list_.find(request.sender.id); known && known->process == request.sender.process) {
         addDoubt(response, *known);
     }
-    response.stamps = state_.newerStamps(request.stamps, request.sender.zone);
+    response.stamps = state_.newerStamps(request.stamps, request.sender.zone, now);
     const auto used = response.isFull ? 0 : response.members.size();
     response.deltas = state_.newerDeltas(request.stamps, request.sender.zone, MaxDeltaEntries - used, random_);
     if (request.sender.zone != list_.self().zone) {
@@ -331,7 +339,7 @@
 {
     const bool isAlone = list_.live(list_.self().zone).size() <= 1;
     aloneTicks_ = isAlone ? aloneTicks_ + 1 : 0;
-    if (!isCurrent_ && aloneTicks_ >= options_.alonePeriods * options_.peersPerPeriod) {
+    if (!isCurrent_ && aloneTicks_ >= options_.alonePeriods * peersPerPeriod()) {
         isCurrent_ = true;
         ++changeCount_;
     }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -24,15 +24,17 @@
 
 struct MemberTableOptions {
     Duration period = seconds(1);
-    // With 2 peers a zone of 83 members misses the observation bound for 0.07% of reads (oldest 3.7 s), with 4 the oldest is
-    // 2.5 s (experiments/membership_cost.cpp and observation_delivery_test.cpp).
-    unsigned peersPerPeriod = 4;
+    unsigned peersPerPeriod = 2;
+    // With 2 peers a zone of 83 members misses the observation bound for 0.07% of reads (oldest 3.7 s); with 3 the oldest
+    // was 2.9 s, and one of 15 members with 2 peers missed it for 0.001% (observation_delivery_test.cpp).
+    unsigned peersInLargeZone = 3;
+    std::size_t largeZone = 10; // members
     unsigned suspicionPeriods = 4;
     unsigned pausePeriods = 3; // a longer gap between two ticks means that this process was paused
     unsigned alonePeriods = 10; // without any other live member in the zone, after which this one is current by itself
     Duration observationBound = seconds(3);
     Duration signalRetention = minutes(10); // of crash suspects and leaving signals
-    double demandRecordsPerSecond = 8; // of a whole zone; bounds the cost of demand and load in large zones
+    double demandRecordsPerSecond = 6; // of a whole zone; bounds the cost of demand and load in large zones
     DisseminationStrategy strategy = DisseminationStrategy::ChangesOnly;
 };
 
@@ -72,7 +74,7 @@
     /// Time between two calls of tick().
     Duration tickInterval() const
     {
-        return options_.period / options_.peersPerPeriod;
+        return options_.period / peersPerPeriod();
     }
     /// Addresses from the settings and from the platform's list of a zone; those not in use by a member are contacted.
     void setSeeds(std::vector<Endpoint> seeds);
@@ -135,6 +137,7 @@
     }
 
 private:
+    unsigned peersPerPeriod() const;
     void noticePause(TimePoint now);
     PeerMessage messageFor(const ZoneId &reader, TimePoint now);
     PeerMessage fullStateMessage(TimePoint now) const;
@@ -153,6 +156,8 @@
     ZoneSummary summaryFor(const ZoneId &reader, TimePoint now) const;
     std::map<std::uint32_t, std::uint32_t> sumOf(std::vector<KeyCount> StateEntry::*counts, bool isZoneOnly) const;
     void updateAlone();
+    /// Removes what this member published of other zones when it is old or the role of bridge is gone.
+    void expireZoneEntries(TimePoint now);
 
     MemberTableOptions options_;
     RandomGenerator &random_;
@@ -163,7 +168,7 @@
     TimePoint lastTickAt_;
     TimePoint failuresCountFrom_{};
     TimePoint lastPeerAnswerAt_{};
-    std::uint64_t tickCount_ = 0;
+    TimePoint periodStart_{};
     bool isCurrent_ = false;
     bool isFullWanted_ = true;
     unsigned aloneTicks_ = 0;
@@ -171,6 +176,7 @@
     bool isUrgent_ = false;
     StateEntry pendingDemand_;
     std::map<VmId, ServerState> pendingLoad_;
+    std::map<ZoneId, TimePoint> zoneDemandAt_; // of the last ZoneDemand that this bridge published
     TimePoint demandPublishedAt_{};
     std::deque<std::pair<TimePoint, std::pair<EntryKind, std::string>>> ownSignals_;
     std::vector<PeerSignal> signals_;
--- a/src/membership/member_table_state.cpp
+++ b/src/membership/member_table_state.cpp
@@ -12,7 +12,11 @@
 {
 
 // Largest counters of a member that its record carries; the rest is too small to change a choice.
-constexpr std::size_t MaxOwnCounts = 16;
+constexpr std::size_t MaxOwnCounts = 12;
+// Likewise of a zone's sum for the other zones, and the time between two sums: the sum costs every member of the other
+// zone its whole size, and foreign replicas are only used when the own zone is full.
+constexpr std::size_t MaxZoneCounts = 48;
+constexpr Duration ZoneDemandInterval = seconds(5);
 // Crash suspects and leaving signals that one member publishes at a time.
 constexpr std::size_t MaxOwnSignals = 64;
 
@@ -24,44 +28,38 @@
     return counts;
 }
 
-bool isStatusEqual(const ServerState &a, const ServerState &b)
-{
-    return a.fencing == b.fencing && a.isSeen == b.isSeen && a.isLoaded == b.isLoaded && a.isLeaving == b.isLeaving;
-}
-
 std::vector<KeyCount> toCounts(const std::map<std::uint32_t, std::uint32_t> &sums)
 {
     std::vector<KeyCount> counts;
     for (const auto &[key, sum] : sums) {
         counts.push_back({key, static_cast<std::uint16_t>(std::min<std::uint32_t>(sum, std::numeric_limits<std::uint16_t>::max()))});
     }
-    return largest(std::move(counts), MaxCountsPerEntry);
+    return largest(std::move(counts), MaxZoneCounts);
 }
 
 }
 
 void MemberTable::setObservation(const VmId &vm, const ServerState &state, TimePoint now)
 {
-    const auto *known = state_.findOwn(EntryKind::Observation, vm.str());
-    if (known != nullptr && isStatusEqual(known->server, state)) {
-        if (known->server != state) {
-            pendingLoad_[vm] = state;
-        }
-        return;
-    }
-    pendingLoad_.erase(vm);
+    pendingLoad_[vm] = state;
     StateEntry entry;
     entry.kind = EntryKind::Observation;
     entry.key = vm.str();
-    entry.server = state;
-    isUrgent_ = state_.setOwn(std::move(entry), now, true) || isUrgent_;
-    ++changeCount_;
+    entry.server.fencing = state.fencing;
+    entry.server.isSeen = state.isSeen;
+    entry.server.isLoaded = state.isLoaded;
+    entry.server.isLeaving = state.isLeaving;
+    if (state_.setOwn(std::move(entry), now, true)) {
+        isUrgent_ = true;
+        ++changeCount_;
+    }
 }
 
 void MemberTable::removeObservation(const VmId &vm, TimePoint now)
 {
     pendingLoad_.erase(vm);
     state_.removeOwn(EntryKind::Observation, vm.str(), now);
+    state_.removeOwn(EntryKind::Load, vm.str(), now);
 }
 
 void MemberTable::markProbed(TimePoint at)
@@ -86,10 +84,16 @@
     state_.setOwn(pendingDemand_, now, false);
     for (const auto &[vm, server] : pendingLoad_) {
         StateEntry entry;
-        entry.kind = EntryKind::Observation;
+        entry.kind = EntryKind::Load;
         entry.key = vm.str();
-        entry.server = server;
-        state_.setOwn(std::move(entry), now, false);
+        entry.server.running = server.running;
+        entry.server.queued = server.queued;
+        entry.server.runningLong = server.runningLong;
+        entry.server.tokensPerSecond = server.tokensPerSecond;
+        const bool isIdle = entry.server == ServerState{};
+        if (!isIdle || state_.findOwn(EntryKind::Load, vm.str()) != nullptr) {
+            state_.setOwn(std::move(entry), now, false);
+        }
     }
     pendingLoad_.clear();
 }
@@ -214,6 +218,23 @@
     return summary;
 }
 
+void MemberTable::expireZoneEntries(TimePoint now)
+{
+    for (const auto &zone : state_.ownKeys(EntryKind::ZoneFreshness)) {
+        const auto age = now - TimePoint(StampUnit * static_cast<std::int64_t>(state_.findOwn(EntryKind::ZoneFreshness, zone)->number));
+        if (age <= MaxStampAge && isBridgeTo(ZoneId(zone), now)) {
+            continue;
+        }
+        state_.removeOwn(EntryKind::ZoneFreshness, zone, now);
+        state_.removeOwn(EntryKind::ZoneDemand, zone, now);
+        for (const auto &vm : state_.ownKeys(EntryKind::ZoneMissing)) {
+            if (state_.findOwn(EntryKind::ZoneMissing, vm)->number == keyHash(zone)) {
+                state_.removeOwn(EntryKind::ZoneMissing, vm, now);
+            }
+        }
+    }
+}
+
 void MemberTable::applySummary(const PeerMessage &message, TimePoint now)
 {
     const auto &summary = message.summary;
@@ -240,10 +261,17 @@
         freshness.key = zone;
         freshness.number = static_cast<std::uint64_t>((now.time_since_epoch() - milliseconds(summary.ageMs)) / StampUnit);
         const auto *known = state_.findOwn(EntryKind::ZoneFreshness, zone);
-        if (known == nullptr || known->number < freshness.number) {
+        // Half a period between two entries; a bridge also hears from the other zone's bridges.
+        const auto step = static_cast<std::uint64_t>(options_.period / 2 / StampUnit);
+        if (known == nullptr || known->number + step < freshness.number) {
             state_.setOwn(std::move(freshness), now, false);
         }
     }
+    auto &publishedAt = zoneDemandAt_[message.sender.zone];
+    if (now - publishedAt < ZoneDemandInterval) {
+        return;
+    }
+    publishedAt = now;
     StateEntry demand;
     demand.kind = EntryKind::ZoneDemand;
     demand.key = zone;
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -53,8 +53,9 @@
     ZoneFreshness, // key: zone; number: oldest observation of the zone in the owner's stamp ticks
     ZoneMissing, // key: VM of another zone that the ZoneFreshness of its owner does not cover
     ZoneDemand, // key: zone; counts summed over the zone
+    Load, // key: VM; the load of an observed server, apart from it because it changes often and stays within the zone
 };
-constexpr std::uint8_t EntryKindCount = 7;
+constexpr std::uint8_t EntryKindCount = 8;
 
 /// A counter whose key is the 32-bit hash of a customer or replica id (keyHash).
 struct KeyCount {
@@ -79,8 +80,9 @@
 /// How much of an owner's state the sender knows, and the owner's freshness stamp at that version.
 struct OwnerStamp {
     std::uint32_t owner = 0; // ownerKey() of the member
-    std::uint32_t stamp = 0; // owner's clock in StampUnit, modulo 2^32: its seen servers were seen at this time
-    std::uint32_t version = 0; // 0: the sender knows neither state nor stamp
+    std::uint16_t stamp = 0; // owner's clock in StampUnit, modulo 2^16: its seen servers were seen at this time
+    std::uint32_t version = 0;
+    bool hasStamp = false; // stamps older than MaxStampAge are left out
 };
 
 /// Changes of one owner's state in the order of their versions.
@@ -122,8 +124,9 @@
 constexpr std::size_t MaxMissingInSummary = 64;
 constexpr std::size_t MaxCountsPerEntry = 512;
 
-/// Resolution of freshness stamps. 32 bits wrap after 497 days; 16 bits would wrap within 11 minutes, and a stamp kept by
-/// a member that was cut off for that long would look new.
+/// Resolution of freshness stamps. They wrap after 655 s and are compared within half of it, so a stamp that a cut-off
+/// member kept for longer would look new; older ones than MaxStampAge are therefore not sent.
+constexpr Duration MaxStampAge = seconds(60);
 constexpr Duration StampUnit = milliseconds(10);
 
 }
--- a/src/membership/shared_observations.cpp
+++ b/src/membership/shared_observations.cpp
@@ -7,11 +7,11 @@
 namespace carawaypoint
 {
 
-TimePoint SharedState::foreignSeen(const ZoneId &zone, const std::string &vm) const
+TimePoint SharedState::foreignSeen(const ZoneId &zone, const std::string &vm, TimePoint now) const
 {
     TimePoint seen{};
     const auto consider = [&](const Owner &owner) {
-        if (owner.zone != self_.zone || owner.lastSeen == TimePoint{}) {
+        if (owner.zone != self_.zone || owner.lastSeen == TimePoint{} || now - owner.lastSeen > MaxStampAge) {
             return;
         }
         const auto entry = owner.entries.find({EntryKind::ZoneFreshness, zone.str()});
@@ -22,7 +22,10 @@
         if (missing != owner.entries.end() && !missing->second.isRemoved) {
             return;
         }
-        seen = std::max(seen, TimePoint(StampUnit * static_cast<std::int64_t>(entry->second.number) + owner.offset));
+        // Relative to the owner's stamp, since stamps wrap. The owner removes the entry when it is older than MaxStampAge.
+        const auto number = static_cast<std::uint16_t>(entry->second.number);
+        const auto difference = static_cast<std::int16_t>(number - static_cast<std::uint16_t>(owner.ticks));
+        seen = std::max(seen, owner.lastSeen + StampUnit * difference);
     };
     consider(own_);
     for (const auto &[key, owner] : owners_) {
@@ -31,6 +34,19 @@
     return seen;
 }
 
+void SharedState::addLoad(const Owner &owner, ObservedServer &server)
+{
+    const auto load = owner.entries.find({EntryKind::Load, server.vm.str()});
+    if (load == owner.entries.end() || load->second.isRemoved) {
+        return;
+    }
+    const auto &known = load->second.server;
+    server.state.running = known.running;
+    server.state.queued = known.queued;
+    server.state.runningLong = known.runningLong;
+    server.state.tokensPerSecond = known.tokensPerSecond;
+}
+
 std::vector<ObservedServer> SharedState::observations(TimePoint now) const
 {
     std::map<std::string, ObservedServer> servers;
@@ -42,13 +58,14 @@
             }
             TimePoint seen{};
             if (entry.server.isSeen) {
-                seen = owner.zone == self_.zone ? owner.lastSeen : foreignSeen(owner.zone, entry.key);
+                seen = owner.zone == self_.zone ? owner.lastSeen : foreignSeen(owner.zone, entry.key, now);
             }
             const auto [known, isNew] = servers.try_emplace(entry.key);
             auto &server = known->second;
             const bool isLeaving = server.state.isLeaving || entry.server.isLeaving;
             if (isNew || seen > server.lastSeen || (seen == server.lastSeen && entry.server.fencing > server.state.fencing)) {
                 server = {VmId(entry.key), owner.zone, entry.server, std::min(seen, now)};
+                addLoad(owner, server);
             }
             server.state.isLeaving = isLeaving; // either prober's word is enough
         }
--- a/src/membership/shared_state.cpp
+++ b/src/membership/shared_state.cpp
@@ -24,7 +24,7 @@
 
 constexpr bool isZoneLocal(EntryKind kind)
 {
-    return kind == EntryKind::Demand || kind == EntryKind::ZoneFreshness || kind == EntryKind::ZoneMissing || kind == EntryKind::ZoneDemand;
+    return kind == EntryKind::Demand || kind == EntryKind::Load || kind == EntryKind::ZoneFreshness || kind == EntryKind::ZoneMissing || kind == EntryKind::ZoneDemand;
 }
 
 bool isSameValue(const StateEntry &a, const StateEntry &b)
@@ -37,11 +37,6 @@
     return StampUnit * ticks;
 }
 
-OwnerStamp makeStamp(std::uint32_t owner, bool hasTicks, std::int64_t ticks, std::uint32_t version)
-{
-    return hasTicks ? OwnerStamp{owner, static_cast<std::uint32_t>(ticks), version} : OwnerStamp{owner, 0, 0};
-}
-
 std::unordered_map<std::uint32_t, const OwnerStamp *> byOwner(const std::vector<OwnerStamp> &stamps)
 {
     std::unordered_map<std::uint32_t, const OwnerStamp *> index;
@@ -171,10 +166,10 @@
 
 std::vector<OwnerStamp> SharedState::zoneStamps(TimePoint now)
 {
-    std::vector<OwnerStamp> stamps{makeStamp(own_.key, true, own_.ticks, own_.version)};
+    std::vector<OwnerStamp> stamps{stampOf(own_, now)};
     for (const auto &[key, owner] : owners_) {
         if (owner.zone == self_.zone || owner.changedUntil > now) {
-            stamps.push_back(makeStamp(key, owner.hasTicks, owner.ticks, owner.version));
+            stamps.push_back(stampOf(owner, now));
         }
     }
     auto it = owners_.upper_bound(rotation_);
@@ -184,7 +179,7 @@
             it = owners_.begin();
         }
         if (it->second.zone != self_.zone && it->second.changedUntil <= now) {
-            stamps.push_back(makeStamp(it->first, it->second.hasTicks, it->second.ticks, it->second.version));
+            stamps.push_back(stampOf(it->second, now));
             rotation_ = it->first;
             ++added;
         }
@@ -192,37 +187,44 @@
     return stamps;
 }
 
+OwnerStamp SharedState::stampOf(const Owner &owner, TimePoint now)
+{
+    const bool hasStamp = owner.hasTicks && now - owner.lastSeen <= MaxStampAge;
+    return {owner.key, static_cast<std::uint16_t>(hasStamp ? owner.ticks : 0), owner.version, hasStamp};
+}
+
 std::vector<OwnerStamp> SharedState::stampsOf(const ZoneId &zone) const
 {
     std::vector<OwnerStamp> stamps;
     for (const auto &[key, owner] : owners_) {
         if (owner.zone == zone) {
-            stamps.push_back(makeStamp(key, owner.hasTicks, owner.ticks, owner.version));
+            stamps.push_back({key, 0, owner.version, false});
         }
     }
     return stamps;
 }
 
-std::vector<OwnerStamp> SharedState::allStamps() const
+std::vector<OwnerStamp> SharedState::allStamps(TimePoint now) const
 {
-    std::vector<OwnerStamp> stamps{{own_.key, static_cast<std::uint32_t>(own_.ticks), own_.version}};
+    std::vector<OwnerStamp> stamps{stampOf(own_, now)};
     for (const auto &[key, owner] : owners_) {
-        stamps.push_back(makeStamp(key, owner.hasTicks, owner.ticks, owner.version));
+        stamps.push_back(stampOf(owner, now));
     }
     return stamps;
 }
 
-std::vector<OwnerStamp> SharedState::newerStamps(const std::vector<OwnerStamp> &theirs, const ZoneId &reader) const
+std::vector<OwnerStamp> SharedState::newerStamps(const std::vector<OwnerStamp> &theirs, const ZoneId &reader, TimePoint now) const
 {
     const auto known = byOwner(theirs);
     std::vector<OwnerStamp> newer;
     const auto addIfNewer = [&](const Owner &owner) {
+        const auto stamp = stampOf(owner, now);
         const auto found = known.find(owner.key);
-        const auto stamp = static_cast<std::uint32_t>(owner.ticks);
-        const bool isNewer =
-            found != known.end() ? owner.version > found->second->version || static_cast<std::int32_t>(stamp - found->second->stamp) > 0 : owner.zone == reader;
-        if (isNewer && owner.hasTicks) {
-            newer.push_back({owner.key, stamp, owner.version});
+        if (owner.zone != reader || !stamp.hasStamp) {
+            return;
+        }
+        if (found == known.end() || !found->second->hasStamp || static_cast<std::int16_t>(stamp.stamp - found->second->stamp) > 0) {
+            newer.push_back(stamp);
         }
     };
     addIfNewer(own_);
@@ -245,6 +247,13 @@
     }
     std::sort(newer.begin(), newer.end(), [](const auto *a, const auto *b) { return a->version < b->version; });
     OwnerDelta delta{owner.key, known, owner.floor, owner.version, {}};
+    if (owner.zone != reader) {
+        // Readers in other zones count only what they get; otherwise every change of demand would look like news to them.
+        if (newer.empty()) {
+            return std::nullopt;
+        }
+        delta.upTo = newer.back()->version;
+    }
     for (const auto *entry : newer) {
         if (delta.entries.size() == limit) {
             delta.upTo = delta.entries.back().version;
@@ -355,7 +364,7 @@
 
 void SharedState::applyStamp(Owner &owner, const OwnerStamp &stamp, TimePoint now)
 {
-    if (stamp.version == 0 || stamp.version > owner.version) {
+    if (!stamp.hasStamp || stamp.version > owner.version || owner.zone != self_.zone) {
         return; // the exceptions that belong to this stamp are not known yet
     }
     if (!owner.hasTicks) {
@@ -364,7 +373,7 @@
         owner.ticks = stamp.stamp;
         return;
     }
-    const auto step = static_cast<std::int32_t>(stamp.stamp - static_cast<std::uint32_t>(owner.ticks));
+    const auto step = static_cast<std::int16_t>(stamp.stamp - static_cast<std::uint16_t>(owner.ticks));
     if (step <= 0) {
         return;
     }
--- a/src/membership/shared_state.h
+++ b/src/membership/shared_state.h
@@ -28,7 +28,7 @@
 /// version first, so that a bounded message leaves no gap. A freshness stamp is taken over only together with the version
 /// it was made at: "all my servers but these were seen at T" is wrong for a reader that does not know the exceptions.
 ///
-/// Cost per exchange in a zone of N members: N stamps of 8 bytes one way and those that are newer the other way, plus each
+/// Cost per exchange in a zone of N members: N stamps of 10 bytes one way and those that are newer the other way, plus each
 /// changed entry once per receiver. Cost of freshness is per prober, not per server.
 class SharedState
 {
@@ -57,11 +57,12 @@
 
     /// Stamps for an exchange within the zone: all owners of the zone, changed ones and a rotating part of the others.
     std::vector<OwnerStamp> zoneStamps(TimePoint now);
+    /// Versions only.
     /// Stamps of the owners in @p zone, for an exchange with another zone.
     std::vector<OwnerStamp> stampsOf(const ZoneId &zone) const;
-    std::vector<OwnerStamp> allStamps() const;
+    std::vector<OwnerStamp> allStamps(TimePoint now) const;
     /// Stamps that are newer than @p theirs, for the owners that @p theirs names and those of the zone @p reader.
-    std::vector<OwnerStamp> newerStamps(const std::vector<OwnerStamp> &theirs, const ZoneId &reader) const;
+    std::vector<OwnerStamp> newerStamps(const std::vector<OwnerStamp> &theirs, const ZoneId &reader, TimePoint now) const;
     /// Entries that a sender of @p theirs does not know, at most @p limit, beginning with a random owner.
     std::vector<OwnerDelta> newerDeltas(const std::vector<OwnerStamp> &theirs, const ZoneId &reader, std::size_t limit, RandomGenerator &random) const;
     /// Entries that changed urgently within the last HotTime, at most @p limit.
@@ -104,11 +105,13 @@
         TimePoint changedUntil{}; // until then zoneStamps() names the owner although it is in another zone
     };
 
+    static OwnerStamp stampOf(const Owner &owner, TimePoint now);
     void applyStamp(Owner &owner, const OwnerStamp &stamp, TimePoint now);
     std::optional<OwnerDelta> deltaFor(const Owner &owner, std::uint32_t known, const ZoneId &reader, std::size_t limit) const;
     void boundRemoved(TimePoint now);
     const Owner *owner(std::uint32_t key) const;
-    TimePoint foreignSeen(const ZoneId &zone, const std::string &vm) const;
+    static void addLoad(const Owner &owner, ObservedServer &server);
+    TimePoint foreignSeen(const ZoneId &zone, const std::string &vm, TimePoint now) const;
 
     MemberRecord self_;
     Owner own_;
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -68,9 +68,9 @@
     isRequestingFull @3 :Bool;
     isFull @4 :Bool;
     members @5 :List(Member);
-    # Parallel lists: 12 bytes a stamp instead of 16 in a list of structs.
+    # Parallel lists: 10 bytes a stamp instead of 16 in a list of structs. Times are given for the first owners only.
     stampOwners @6 :List(UInt32);
-    stampTimes @7 :List(UInt32);
+    stampTimes @7 :List(UInt16);
     stampVersions @8 :List(UInt32);
     deltas @9 :List(Delta);
     summary @10 :Summary;
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -1083,7 +1083,7 @@
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStampOwners() const;
 
   inline bool hasStampTimes() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStampTimes() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getStampTimes() const;
 
   inline bool hasStampVersions() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStampVersions() const;
@@ -1157,12 +1157,12 @@
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownStampOwners();
 
   inline bool hasStampTimes();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getStampTimes();
-  inline void setStampTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setStampTimes(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initStampTimes(unsigned int size);
-  inline void adoptStampTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownStampTimes();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getStampTimes();
+  inline void setStampTimes( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStampTimes(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initStampTimes(unsigned int size);
+  inline void adoptStampTimes(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownStampTimes();
 
   inline bool hasStampVersions();
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getStampVersions();
@@ -3381,33 +3381,33 @@
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Message::Reader::getStampTimes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Message::Reader::getStampTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::getStampTimes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::getStampTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setStampTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Message::Builder::setStampTimes( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void Message::Builder::setStampTimes(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Message::Builder::setStampTimes(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::initStampTimes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::initStampTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptStampTimes(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Message::Builder::disownStampTimes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Message::Builder::disownStampTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
--- a/src/protocol/wire_conversion.cpp
+++ b/src/protocol/wire_conversion.cpp
@@ -1,5 +1,7 @@
 #include "protocol/wire_conversion.h"
 
+#include <algorithm>
+
 namespace carawaypoint::wire
 {
 
@@ -199,14 +201,19 @@
         }
     }
     if (!message.stamps.empty()) {
-        const auto count = static_cast<unsigned>(message.stamps.size());
+        // Those with a stamp come first.
+        auto stamps = message.stamps;
+        const auto timed = std::partition(stamps.begin(), stamps.end(), [](const auto &stamp) { return stamp.hasStamp; });
+        const auto count = static_cast<unsigned>(stamps.size());
         auto owners = builder.initStampOwners(count);
-        auto times = builder.initStampTimes(count);
+        auto times = builder.initStampTimes(static_cast<unsigned>(timed - stamps.begin()));
         auto versions = builder.initStampVersions(count);
         for (unsigned i = 0; i < count; ++i) {
-            owners.set(i, message.stamps[i].owner);
-            times.set(i, message.stamps[i].stamp);
-            versions.set(i, message.stamps[i].version);
+            owners.set(i, stamps[i].owner);
+            versions.set(i, stamps[i].version);
+            if (i < times.size()) {
+                times.set(i, stamps[i].stamp);
+            }
         }
     }
     if (!message.deltas.empty()) {
@@ -236,10 +243,11 @@
     const auto owners = reader.getStampOwners();
     const auto times = reader.getStampTimes();
     const auto versions = reader.getStampVersions();
-    require(owners.size() <= MaxFullMembers && owners.size() == times.size() && owners.size() == versions.size(), "list of stamps");
+    require(owners.size() <= MaxFullMembers && times.size() <= owners.size() && owners.size() == versions.size(), "list of stamps");
     message.stamps.reserve(owners.size());
     for (unsigned i = 0; i < owners.size(); ++i) {
-        message.stamps.push_back({owners[i], times[i], versions[i]});
+        const bool hasStamp = i < times.size();
+        message.stamps.push_back({owners[i], hasStamp ? times[i] : std::uint16_t{0}, versions[i], hasStamp});
     }
     const auto deltas = reader.getDeltas();
     require(deltas.size() <= MaxFullMembers, "too many deltas");
--- a/tests/membership/configuration_agent_test.cpp
+++ b/tests/membership/configuration_agent_test.cpp
@@ -252,6 +252,17 @@
     EXPECT_EQ(agent->tracker().inForce().text, R"({"base":"1"})");
 }
 
+// Guards against a second text of the generation in force that replaces the first, or is passed over in silence.
+TEST(GenerationTracker, refusesAnotherTextOfTheSameGeneration)
+{
+    GenerationTracker tracker;
+    EXPECT_EQ(tracker.offer({3, 0, "a"}), GenerationTracker::Outcome::Applied);
+    EXPECT_EQ(tracker.offer({3, 0, "a"}), GenerationTracker::Outcome::Unchanged);
+    EXPECT_EQ(tracker.offer({3, 0, "b"}), GenerationTracker::Outcome::DigestFault);
+    EXPECT_EQ(tracker.offer({2, 0, "c"}), GenerationTracker::Outcome::Older);
+    EXPECT_EQ(tracker.inForce().text, "a");
+}
+
 // Guards against a status that shows a member at a generation that it has left, or for the wrong time.
 TEST(GenerationTracker, keepsTimeInForcePerMember)
 {
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -325,4 +325,115 @@
     }
 }
 
+// Guards against servers of another zone that look fresh while that zone is cut off; stamps wrap after 11 minutes.
+TEST(Fleet, serversOfACutOffZoneStayStale)
+{
+    SimulatedFleet fleet(15);
+    fleet.addZone(0, 7);
+    fleet.addZone(1, 7);
+    fleet.startAll();
+    fleet.run(seconds(20));
+    ServerState state;
+    state.isSeen = true;
+    fleet.table(0).setObservation(VmId("a"), state, fleet.now());
+    fleet.beforeTick = [&fleet](std::size_t index, TimePoint now) {
+        if (index == 0) {
+            fleet.table(0).markProbed(now);
+        }
+    };
+    fleet.run(seconds(10));
+    const auto lastSeen = [&](std::size_t index) { return fleet.table(index).observations(fleet.now()).at(0).lastSeen; };
+    EXPECT_LT(fleet.now() - lastSeen(8), seconds(6));
+    EXPECT_GT(fleet.now() - lastSeen(8), Duration(0));
+    const auto cutAt = fleet.now();
+    fleet.isCut = [](const auto &a, const auto &b) { return a.record.zone != b.record.zone; };
+    for (int minute = 0; minute < 13; ++minute) {
+        fleet.run(seconds(60));
+        for (std::size_t i = 7; i < 14; ++i) {
+            ASSERT_LE(lastSeen(i), cutAt) << minute;
+        }
+        ASSERT_LT(fleet.now() - lastSeen(3), seconds(3));
+    }
+    fleet.isCut = [](const auto &, const auto &) { return false; };
+    fleet.run(seconds(20));
+    EXPECT_LT(fleet.now() - lastSeen(8), seconds(6));
+}
+
+// Guards against a zone whose members are declared dead by another zone that cannot reach them.
+TEST(Fleet, aCutBetweenZonesSuspectsNobody)
+{
+    SimulatedFleet fleet(16);
+    fleet.addZone(0, 3);
+    fleet.addZone(1, 3);
+    fleet.startAll();
+    fleet.run(seconds(20));
+    fleet.isCut = [](const auto &a, const auto &b) { return a.record.zone != b.record.zone; };
+    fleet.run(seconds(60));
+    for (std::size_t i = 0; i < 6; ++i) {
+        EXPECT_EQ(fleet.table(i).members().suspicionCount(), 0U);
+    }
+}
+
+// Guards against freshness without its exceptions: a stamp that arrives before the change it belongs to.
+TEST(SharedState, aStampCountsOnlyWithItsVersion)
+{
+    const MemberRecord owner{MemberId("o"), ZoneId("z"), {"a", 1}, 1};
+    const MemberRecord reader{MemberId("r"), ZoneId("z"), {"b", 1}, 1};
+    TimePoint now{hours(1)};
+    RandomGenerator random;
+    SharedState source(owner, now);
+    SharedState state(reader, now);
+    state.addOwner(owner);
+    StateEntry entry;
+    entry.key = "vm";
+    entry.server.isSeen = true;
+    source.setOwn(entry, now, true);
+    const auto pull = [&] { state.apply(source.newerDeltas(state.zoneStamps(now), ZoneId("z"), 64, random), source.zoneStamps(now), now); };
+    for (int i = 0; i < 3; ++i) {
+        now += seconds(1);
+        source.markOwnSeen(now);
+        pull();
+    }
+    ASSERT_EQ(state.observations(now).at(0).lastSeen, now);
+    const auto before = now;
+    now += seconds(1);
+    entry.server.isSeen = false;
+    source.setOwn(entry, now, true);
+    source.markOwnSeen(now);
+    state.apply({}, source.zoneStamps(now), now); // the delta was lost
+    EXPECT_EQ(state.observations(now).at(0).lastSeen, before);
+    pull();
+    EXPECT_EQ(state.observations(now).at(0).lastSeen, TimePoint{});
+}
+
+// Guards against unbounded markers of removed entries, and against readers that keep what was removed.
+TEST(SharedState, boundsMarkersOfRemovedEntries)
+{
+    const MemberRecord owner{MemberId("o"), ZoneId("z"), {"a", 1}, 1};
+    TimePoint now{hours(1)};
+    RandomGenerator random;
+    SharedState source(owner, now);
+    SharedState state({MemberId("r"), ZoneId("z"), {"b", 1}, 1}, now);
+    state.addOwner(owner);
+    for (int i = 0; i < 2000; ++i) {
+        StateEntry entry;
+        entry.key = "vm" + std::to_string(i);
+        source.setOwn(entry, now, true);
+        if (i == 100) {
+            for (int pulls = 0; pulls < 4; ++pulls) {
+                state.apply(source.newerDeltas(state.zoneStamps(now), ZoneId("z"), 64, random), {}, now);
+            }
+            ASSERT_GT(state.observations(now).size(), 0U);
+        }
+        if (i >= 10) {
+            source.removeOwn(EntryKind::Observation, "vm" + std::to_string(i - 10), now);
+        }
+    }
+    EXPECT_LE(source.entryCount(), 300U);
+    for (int pulls = 0; pulls < 10; ++pulls) {
+        state.apply(source.newerDeltas(state.zoneStamps(now), ZoneId("z"), 64, random), {}, now);
+    }
+    EXPECT_EQ(state.observations(now).size(), 10U);
+}
+
 }
