Share the form of a configuration with its generation between daemon, platform object and command line

Cause: three places read and write the same form. Change: VersionedConfig with toJson() and parseVersionedConfig() in config; answers for faults and conflicts for the daemon. Conclusion: test_config, test_cli and test_daemon pass.

--- a/src/cli/config_apply.cpp
+++ b/src/cli/config_apply.cpp
@@ -71,14 +71,13 @@
 
     ExitCode send(const RemoteConfig &current, std::uint64_t expected)
     {
-        const auto body = "{\"expected_generation\":" + std::to_string(expected) + ",\"documents\":" + toJson(documents_) + "}";
-        const auto answer = client_.post("/admin/config", body);
+        const auto answer = client_.post("/admin/config", toJson(VersionedConfig{expected, documents_}, "expected_generation"));
         if (answer.isOk()) {
             const auto generation = memberText(parseAnswer(answer), "generation");
             return finish(std::stoull(generation), "Accepted");
         }
         if (!answer.error && answer.status == 409) {
-            return reportConflict(current.documents, parseRemoteConfig(parseAnswer(answer)));
+            return reportConflict(current.documents, parseRemoteConfig(answer.body));
         }
         if (!answer.error && answer.status < 500) {
             const auto failure = reportFailure(answer, context_);
--- a/src/cli/remote_config.cpp
+++ b/src/cli/remote_config.cpp
@@ -4,8 +4,6 @@
 #include "core/result_code.h"
 
 #include <boost/json/array.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
 #include <filesystem>
@@ -57,7 +55,7 @@
 {
     const auto answer = client.get("/admin/config");
     if (answer.isOk()) {
-        return parseRemoteConfig(parseAnswer(answer));
+        return parseRemoteConfig(answer.body);
     }
     if (!answer.error && answer.body.find(resultCodeName(ResultCode::ConfigMissing)) != std::string::npos) {
         return RemoteConfig{};
@@ -66,21 +64,14 @@
     return std::nullopt;
 }
 
-RemoteConfig parseRemoteConfig(const json::object &body)
+RemoteConfig parseRemoteConfig(std::string_view body)
 {
-    const auto *generation = body.if_contains("generation");
-    const auto *documents = body.if_contains("documents");
-    json::error_code error;
-    const auto number = generation == nullptr ? 0 : generation->to_number<std::uint64_t>(error);
-    if (generation == nullptr || error || documents == nullptr) {
-        throw std::runtime_error("the daemon's answer lacks the members generation and documents");
-    }
     std::string fault;
-    auto parsed = parseConfigDocuments(json::serialize(*documents), fault);
+    auto parsed = parseVersionedConfig(body, fault);
     if (!parsed) {
-        throw std::runtime_error("the daemon's answer has faulty documents: " + fault);
+        throw std::runtime_error("the configuration has another form than expected: " + fault);
     }
-    return {number, *std::move(parsed)};
+    return *std::move(parsed);
 }
 
 std::optional<RemoteConfig> readAppliedConfig(const std::string &directory)
@@ -91,17 +82,17 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    json::error_code error;
-    const auto value = json::parse(text.str(), error);
-    if (error || !value.is_object()) {
-        throw std::runtime_error(appliedPath(directory) + " is not a JSON object; export the configuration again with config show --export");
+    std::string fault;
+    auto parsed = parseVersionedConfig(text.str(), fault);
+    if (!parsed) {
+        throw std::runtime_error(appliedPath(directory) + ": " + fault + "; export the configuration again with config show --export");
     }
-    return parseRemoteConfig(value.as_object());
+    return parsed;
 }
 
 bool writeAppliedConfig(const std::string &directory, const RemoteConfig &config)
 {
-    return writeFile(appliedPath(directory), "{\"generation\":" + std::to_string(config.generation) + ",\"documents\":" + toJson(config.documents) + "}\n");
+    return writeFile(appliedPath(directory), toJson(config) + "\n");
 }
 
 bool exportConfig(const std::string &directory, const RemoteConfig &config)
--- a/src/cli/remote_config.h
+++ b/src/cli/remote_config.h
@@ -6,24 +6,20 @@
 
 #include <boost/json/object.hpp>
 
-#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace carawaypoint
 {
 
-/// A configuration with its generation, as a daemon offers it.
-struct RemoteConfig {
-    std::uint64_t generation = 0; // 0: none was ever applied
-    ConfigDocuments documents;
-};
+using RemoteConfig = VersionedConfig;
 
 /// Asks for the configuration in force. Without a result @p failure holds the exit code, and the reason was written.
 std::optional<RemoteConfig> fetchConfig(const AdminClient &client, const CommandContext &context, ExitCode &failure);
 
-/// Reads `generation` and `documents` of @p body; throws std::runtime_error for another form.
-RemoteConfig parseRemoteConfig(const boost::json::object &body);
+/// The configuration in @p body; throws std::runtime_error for another form.
+RemoteConfig parseRemoteConfig(std::string_view body);
 
 /// The configuration that the files of @p directory were last equal to, from its file `.applied.json`. An operator's edits
 /// are based on it, so it shows what another operator changed since.
--- a/src/config/config_documents.cpp
+++ b/src/config/config_documents.cpp
@@ -26,6 +26,27 @@
     return text.str();
 }
 
+std::optional<ConfigDocuments> readDocuments(const boost::json::value &value, std::string &fault)
+{
+    const auto *object = value.if_object();
+    const auto *base = object == nullptr ? nullptr : object->if_contains("base");
+    const auto *sites = object == nullptr ? nullptr : object->if_contains("sites");
+    if (base == nullptr || !base->is_string() || sites == nullptr || !sites->is_object() || object->size() != 2) {
+        fault = "expected an object with the members base (a text) and sites (an object) only";
+        return std::nullopt;
+    }
+    ConfigDocuments documents;
+    documents.base = base->as_string();
+    for (const auto &[site, text] : sites->as_object()) {
+        if (!text.is_string()) {
+            fault = "expected a text for the site " + std::string(site);
+            return std::nullopt;
+        }
+        documents.sites[site] = text.as_string();
+    }
+    return documents;
+}
+
 }
 
 std::string toJson(const ConfigDocuments &documents)
@@ -41,26 +62,35 @@
 {
     boost::json::error_code error;
     const auto value = boost::json::parse(json, error);
-    if (error || !value.is_object()) {
+    if (error) {
         fault = "expected a JSON object";
         return std::nullopt;
     }
-    const auto *base = value.as_object().if_contains("base");
-    const auto *sites = value.as_object().if_contains("sites");
-    if (value.as_object().size() != 2 || base == nullptr || !base->is_string() || sites == nullptr || !sites->is_object()) {
-        fault = "expected the members base (a text) and sites (an object) only";
+    return readDocuments(value, fault);
+}
+
+std::string toJson(const VersionedConfig &config, std::string_view generationKey)
+{
+    return "{\"" + std::string(generationKey) + "\":" + std::to_string(config.generation) + ",\"documents\":" + toJson(config.documents) + "}";
+}
+
+std::optional<VersionedConfig> parseVersionedConfig(std::string_view json, std::string &fault, std::string_view generationKey)
+{
+    boost::json::error_code error;
+    const auto value = boost::json::parse(json, error);
+    if (error || !value.is_object()) {
+        fault = "expected a JSON object";
         return std::nullopt;
     }
-    ConfigDocuments documents;
-    documents.base = base->as_string();
-    for (const auto &[site, text] : sites->as_object()) {
-        if (!text.is_string()) {
-            fault = "expected a text for the site " + std::string(site);
-            return std::nullopt;
-        }
-        documents.sites[site] = text.as_string();
+    const auto *generation = value.as_object().if_contains(generationKey);
+    const auto *documents = value.as_object().if_contains("documents");
+    const auto number = generation == nullptr ? 0 : generation->to_number<std::uint64_t>(error);
+    if (generation == nullptr || error || documents == nullptr) {
+        fault = "expected the members " + std::string(generationKey) + " (a whole number) and documents";
+        return std::nullopt;
     }
-    return documents;
+    auto parsed = readDocuments(*documents, fault);
+    return parsed ? std::optional(VersionedConfig{number, *std::move(parsed)}) : std::nullopt;
 }
 
 std::optional<ConfigDocuments> readConfigDirectory(const std::string &directory, std::vector<ConfigFault> &faults)
--- a/src/daemon/admin_bodies.cpp
+++ b/src/daemon/admin_bodies.cpp
@@ -1,6 +1,5 @@
 #include "daemon/admin_bodies.h"
 
-#include "daemon/admin_server.h"
 #include "observe/log.h"
 
 #include <boost/json/array.hpp>
@@ -83,6 +82,23 @@
     });
 }
 
+AdminResponse makeFaultsResponse(const LoadedConfig &loaded)
+{
+    json::array faults;
+    for (const auto &fault : loaded.faults) {
+        faults.emplace_back(fault.toString());
+    }
+    const auto code = loaded.isTooLarge ? ResultCode::ConfigTooLarge : ResultCode::ConfigInvalid;
+    return makeAdminError(code, std::to_string(faults.size()) + " faults, nothing was applied", "\"faults\":" + json::serialize(faults));
+}
+
+AdminResponse makeConflictResponse(const VersionedConfig &present)
+{
+    const auto body = carawaypoint::toJson(present);
+    // The members of the object without its braces.
+    return makeAdminError(ResultCode::ConfigConflict, "another generation is in force, nothing was applied", std::string_view(body).substr(1, body.size() - 2));
+}
+
 AlarmTimes toAlarmTimes(const AlarmSettings &settings)
 {
     return {.replicaDown = settings.replicaDown,
--- a/tests/cli/fake_daemon.cpp
+++ b/tests/cli/fake_daemon.cpp
@@ -1,9 +1,5 @@
 #include "tests/cli/fake_daemon.h"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
-
 namespace carawaypoint
 {
 
@@ -52,7 +48,7 @@
 
 std::string FakeDaemon::configBody() const
 {
-    return "{\"generation\":" + std::to_string(generation) + ",\"documents\":" + toJson(documents) + "}";
+    return toJson(VersionedConfig{generation, documents});
 }
 
 void FakeDaemon::apply(const AdminRequest &request, const AdminServer::Responder &respond)
@@ -60,17 +56,17 @@
     if (beforeApply) {
         beforeApply();
     }
-    const auto body = boost::json::parse(request.body).as_object();
     if (refusesChanges) {
         respond(makeAdminError(ResultCode::ConfigInvalid, "the configuration has faults", R"("faults":["base.ini:3: model m.pool: expected a pool"])"));
         return;
     }
-    if (body.at("expected_generation").to_number<std::uint64_t>() != generation) {
+    std::string fault;
+    const auto change = parseVersionedConfig(request.body, fault, "expected_generation").value();
+    if (change.generation != generation) {
         respond(makeAdminError(ResultCode::ConfigConflict, "another generation is in force", configBody().substr(1, configBody().size() - 2)));
         return;
     }
-    std::string fault;
-    documents = parseConfigDocuments(boost::json::serialize(body.at("documents")), fault).value();
+    documents = change.documents;
     ++generation;
     respond(losesAnswers ? makeAdminError(ResultCode::PlatformTimeout, "the platform did not answer")
                          : AdminResponse{.body = "{\"generation\":" + std::to_string(generation) + "}"});
--- a/tests/config/config_loader_test.cpp
+++ b/tests/config/config_loader_test.cpp
@@ -161,6 +161,21 @@
     }
 }
 
+// Guards against a configuration taken with generation 0 because its generation could not be read.
+TEST(ConfigDocuments, travelWithTheirGeneration)
+{
+    std::string fault;
+    const auto parsed = parseVersionedConfig(toJson(VersionedConfig{7, {"b", {{"north", "x"}}}}), fault);
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed->generation, 7U);
+    EXPECT_EQ(parsed->documents.sites.at("north"), "x");
+    for (const auto *generation : {"-1", "\"7\"", "null", "1.5", "99999999999999999999"}) {
+        const auto text = std::string(R"({"generation":)") + generation + R"(,"documents":{"base":"","sites":{}}})";
+        EXPECT_FALSE(parseVersionedConfig(text, fault)) << generation;
+    }
+    EXPECT_FALSE(parseVersionedConfig(R"({"generation":1})", fault));
+}
+
 // Guards against differences that an operator would overlook or that are none.
 TEST(ConfigDifference, comparesValuesAndLines)
 {
--- a/tests/daemon/admin_bodies_test.cpp
+++ b/tests/daemon/admin_bodies_test.cpp
@@ -38,4 +38,24 @@
     EXPECT_EQ(record.at("fields").at("incarnation"), 3);
 }
 
+// Guards against answers to a change from which the command line cannot read the faults or the present configuration.
+TEST(AdminBodies, answersToChanges)
+{
+    LoadedConfig loaded;
+    loaded.faults.push_back({{"base.ini", 3}, "model m.pool", "expected \"a\""});
+    const auto faults = makeFaultsResponse(loaded);
+    EXPECT_EQ(faults.status, 400U);
+    EXPECT_EQ(boost::json::parse(faults.body).at("faults").as_array().at(0), "base.ini:3: model m.pool: expected \"a\"");
+    loaded.isTooLarge = true;
+    EXPECT_EQ(makeFaultsResponse(loaded).code, ResultCode::ConfigTooLarge);
+    const auto conflict = makeConflictResponse({7, {"base", {{"north", "x"}}}});
+    EXPECT_EQ(conflict.status, 409U);
+    std::string fault;
+    const auto present = parseVersionedConfig(conflict.body, fault);
+    ASSERT_TRUE(present) << fault;
+    EXPECT_EQ(present->generation, 7U);
+    EXPECT_EQ(present->documents.sites.at("north"), "x");
+    EXPECT_EQ(boost::json::parse(conflict.body).at("error").at("code"), 601);
+}
+
 }
