Test the command line against silent daemons and concurrent operators

Cause: a tool that hangs or re-sends, and two operators who both believe to have succeeded, are the failures that cost most. Change: tests with a connection that is accepted and never read, and 20 rounds of two concurrent config apply.

--- a/tests/cli/command_line_test.cpp
+++ b/tests/cli/command_line_test.cpp
@@ -1,6 +1,8 @@
 #include "cli/command_line.h"
 #include "tests/cli/fake_daemon.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 #include <gmock/gmock.h>
@@ -9,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <thread>
 #include <unistd.h>
 
 namespace carawaypoint
@@ -233,6 +236,49 @@
     }
 }
 
+// Guards against a tool that hangs on a daemon whose connections are accepted but silent.
+TEST_F(CommandLineTest, silentDaemonsTimeOut)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor silent(context, {boost::asio::ip::address_v4::loopback(), 0}); // the system accepts, nobody reads
+    const auto address = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    daemon_.answers["/admin/alarms"] = R"({"active":[],"recent":[]})";
+    daemon_.start();
+    EXPECT_EQ(run({"alarms", "--timeout", "0.2", "--daemon", address}).exitCode, 3);
+    EXPECT_EQ(run({"alarms", "--timeout", "0.2", "--daemon", address, "--daemon", daemon_.address()}).exitCode, 0);
+    const auto drain = run({"drain", "--vm", "vm-1", "--timeout", "0.2", "--daemon", address, "--daemon", daemon_.address()});
+    EXPECT_EQ(drain.exitCode, 3);
+    EXPECT_TRUE(daemon_.drains.empty()) << "a request that may have taken effect is not sent to another daemon";
+}
+
+// Guards against two operators who both believe that their concurrent change is in force.
+TEST_F(CommandLineTest, oneOfTwoConcurrentOperatorsSucceeds)
+{
+    daemon_.start();
+    ASSERT_EQ(apply().exitCode, 0);
+    for (int round = 0; round < 20; ++round) {
+        int exitCodes[2] = {};
+        std::thread operators[2];
+        for (int i = 0; i < 2; ++i) {
+            const auto directory = (directory_ / ("operator-" + std::to_string(i))).string();
+            ASSERT_EQ(run({"config", "show", "--daemon", daemon_.address(), "--export", directory}).exitCode, 0);
+            std::ofstream(directory + "/base.ini", std::ios::app) << "; round " << round << " of operator " << i << "\n";
+        }
+        for (int i = 0; i < 2; ++i) {
+            operators[i] = std::thread([this, i, &exitCodes] {
+                exitCodes[i] =
+                    run({"config", "apply", "--dir", (directory_ / ("operator-" + std::to_string(i))).string(), "--daemon", daemon_.address()}).exitCode;
+            });
+        }
+        operators[0].join();
+        operators[1].join();
+        EXPECT_EQ(exitCodes[0] + exitCodes[1], 4) << "one is done (0), one meets a conflict (4)";
+        EXPECT_EQ(exitCodes[0] * exitCodes[1], 0);
+        const auto winner = "round " + std::to_string(round) + " of operator " + (exitCodes[0] == 0 ? "0" : "1");
+        EXPECT_THAT(daemon_.documents.base, HasSubstr(winner));
+    }
+}
+
 // Guards against alarms that a script does not notice, and decisions that lose their order over several daemons.
 TEST_F(CommandLineTest, showsAlarmsDecisionsAndDrains)
 {
