--- a/src/config/config_schema.cpp
+++ b/src/config/config_schema.cpp
@@ -228,7 +228,7 @@
      .low = 1,
      .high = 86'400,
      .defaultText = "10min",
-     .description = "Time that a planned stop waits for requests in progress."},
+     .description = "Time that a planned stop waits for requests in progress. Must exceed the longest answer, or the stop interrupts it."},
 };
 
 constexpr SectionSchema ConfigSections[] = {
