--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -100,6 +100,9 @@
     callbacks.onConfirmNoOrdersInFlight = [this](const DomainKey &domain, std::uint64_t epoch, const std::function<void(bool)> &answer) {
         answer(controller_->answerConfirmation(domain, epoch, process_) == FormerControllerReply::NoOrdersInFlight);
     };
+    callbacks.onFetchAssignment = [this](const std::vector<RecordStamp> &known) {
+        return assignmentFor(known);
+    };
     return callbacks;
 }
 
@@ -143,13 +146,68 @@
     store_->listVms([this](std::error_code error, std::vector<VmRecord> vms) {
         isPlatformReachable_ = !error;
         if (!error) {
-            vms_ = std::move(vms);
-            controller_->setInventory(vms_);
+            takeInventory(std::move(vms));
+        } else {
+            fetchAssignmentFromPeer();
         }
         repeat(vmTimer_, VmListPeriod, &ControlPlane::fetchVmList);
     });
 }
 
+void ControlPlane::takeInventory(std::vector<VmRecord> vms)
+{
+    vms_ = std::move(vms);
+    controller_->setInventory(vms_);
+}
+
+void ControlPlane::fetchAssignmentFromPeer()
+{
+    std::vector<MemberId> peers = membership_.table().members().live(settings_.zone);
+    std::erase(peers, settings_.id);
+    if (peers.empty()) {
+        return;
+    }
+    std::vector<RecordStamp> known;
+    for (const auto &record : controller_->records()) {
+        known.push_back({record.key.objectName(), record.epoch, record.sequence});
+    }
+    const PeerTarget peer = membership_.target(peers[peerTurn_++ % peers.size()]);
+    peers_.fetchAssignment(peer, std::move(known), [this, peer](const PeerReply &reply, SharedAssignment assignment) {
+        if (reply.error) {
+            return;
+        }
+        for (const auto &text : assignment.records) {
+            if (const auto record = decodeDomainRecord(text)) {
+                // The version of the object stays unknown: a write on top of it fails and is followed by a read.
+                controller_->applyRecord(record->key, text, 0);
+            } else {
+                logLine(LogLevel::Warning, "peer sent a domain record that cannot be read", {{"peer", peer.id.str()}});
+            }
+        }
+        // A peer without a list has not seen the platform either.
+        if (!isPlatformReachable_ && !assignment.vms.empty()) {
+            takeInventory(std::move(assignment.vms));
+        }
+    });
+}
+
+SharedAssignment ControlPlane::assignmentFor(const std::vector<RecordStamp> &known) const
+{
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> stamps;
+    for (const auto &stamp : known) {
+        stamps[stamp.name] = {stamp.epoch, stamp.sequence};
+    }
+    SharedAssignment assignment;
+    for (const auto &record : controller_->records()) {
+        const auto found = stamps.find(record.key.objectName());
+        if (found == stamps.end() || found->second < std::pair(record.epoch, record.sequence)) {
+            assignment.records.push_back(encodeDomainRecord(record));
+        }
+    }
+    assignment.vms = vms_;
+    return assignment;
+}
+
 void ControlPlane::controlTick()
 {
     const TimePoint now = clock_.now();
@@ -172,6 +230,7 @@
     publishOwnObservations(now);
     takePeerObservations(now);
     publishSnapshot(now);
+    publishCrashSuspects();
     repeat(controlTimer_, ControlTick, &ControlPlane::controlTick);
 }
 
@@ -323,9 +382,15 @@
     };
     const Dispatcher::Demand demand = dispatcher_.demand();
     membership_.table().setDemand(toCounts(demand.customers), toCounts(demand.inFlight));
+}
+
+void ControlPlane::publishCrashSuspects()
+{
     for (const std::uint64_t fingerprint : dispatcher_.takeCrashSuspects()) {
         constexpr std::uint64_t WholeWeight = 1000; // thousandths
-        membership_.reportCrashSuspect(std::to_string(fingerprint), WholeWeight);
+        // Each crash has a subject of its own: two crashes within seconds are two signals, and peers have to count both.
+        const std::string subject = std::to_string(fingerprint) + "#" + settings_.id.str() + "#" + std::to_string(++crashCount_);
+        membership_.reportCrashSuspect(subject, WholeWeight);
     }
 }
 
@@ -347,6 +412,8 @@
 void ControlPlane::noteServerSignal(const ServerSignal &signal)
 {
     boost::asio::post(control_, [this, signal] {
+        // At once, since the caller may be re-sending the request through another entry already.
+        publishCrashSuspects();
         const VmRecord *vm = vmAt(signal.server);
         if (vm == nullptr) {
             return;
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -104,6 +104,10 @@
 
     void repeat(boost::asio::steady_timer &timer, Duration period, void (ControlPlane::*step)());
     void fetchVmList();
+    /// Asks a live peer of the zone for what the platform cannot tell now.
+    void fetchAssignmentFromPeer();
+    SharedAssignment assignmentFor(const std::vector<RecordStamp> &known) const;
+    void takeInventory(std::vector<VmRecord> vms);
     void controlTick();
     void slowTick();
     void applyConfiguration(const ConfigurationText &text);
@@ -114,6 +118,7 @@
     void takePeerObservations(TimePoint now);
     void publishSnapshot(TimePoint now);
     void exchangeDemand();
+    void publishCrashSuspects();
     void exchangeClaimState();
     void updateAlarms(TimePoint now);
     void updateMetrics();
@@ -158,6 +163,8 @@
     std::map<VmId, ProbedEngine> probed_; // engines that this daemon probes
     std::set<VmId> probedSet_;
     std::map<VmId, TimePoint> leavingUntil_;
+    std::uint64_t peerTurn_ = 0; // which peer is asked for the assignment next
+    std::uint64_t crashCount_ = 0; // crash suspects reported by this process
     std::uint64_t pauseCount_ = 0;
     bool isPlatformReachable_ = false;
     TimePoint lastTick_{};
--- a/src/membership/membership_agent.cpp
+++ b/src/membership/membership_agent.cpp
@@ -333,6 +333,11 @@
     }
 }
 
+SharedAssignment MembershipAgent::onFetchAssignment(const std::vector<RecordStamp> &known)
+{
+    return impl_->callbacks().onFetchAssignment ? impl_->callbacks().onFetchAssignment(known) : SharedAssignment{};
+}
+
 void MembershipAgent::onSignals(std::vector<PeerSignal> signals)
 {
     for (const auto &signal : signals) {
--- a/src/membership/membership_agent.h
+++ b/src/membership/membership_agent.h
@@ -29,6 +29,7 @@
     std::function<void(const PeerSignal &)> onSignal;
     std::function<void(std::string service, std::string key, std::string token, std::function<void(RelinquishOutcome)>)> onRelinquishClaim;
     std::function<void(DomainKey, std::uint64_t epoch, std::function<void(bool)>)> onConfirmNoOrdersInFlight;
+    std::function<SharedAssignment(const std::vector<RecordStamp> &known)> onFetchAssignment;
 };
 
 /// Drives the member table with timers and peer calls, on the control thread.
@@ -69,6 +70,7 @@
     void onRelinquishClaim(std::string service, std::string key, std::string token, std::function<void(RelinquishOutcome)> answer) override;
     void onConfirmNoOrdersInFlight(DomainKey domain, std::uint64_t epoch, std::function<void(bool)> answer) override;
     void onSignals(std::vector<PeerSignal> signals) override;
+    SharedAssignment onFetchAssignment(const std::vector<RecordStamp> &known) override;
 
 private:
     class Impl;
--- a/src/membership/peer_calls.h
+++ b/src/membership/peer_calls.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "core/result_code.h"
 #include "membership/member_table.h"
+#include "platform/object_store.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +28,19 @@
     bool isOtherProcess = false; // another process than PeerTarget::process answered: the expected one has ended
 };
 
+/// Which copy of a domain record a daemon has.
+struct RecordStamp {
+    std::string name; // of the domain's object
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// What a daemon without the platform learns from a peer.
+struct SharedAssignment {
+    std::vector<std::string> records; // JSON texts of domain records that are newer than the caller's
+    std::vector<VmRecord> vms; // the platform's list as the peer last saw it
+};
+
 enum class RelinquishOutcome : std::uint8_t {
     Relinquished, // the claim was not dispatched and will not be
     Dispatched, // the call was or may have been sent
@@ -42,6 +57,8 @@
     using ConfirmHandler = std::function<void(PeerReply, bool isConfirmed)>;
     using DoneHandler = std::function<void(PeerReply)>;
 
+    using AssignmentHandler = std::function<void(PeerReply, SharedAssignment)>;
+
     virtual ~PeerCalls() = default;
     virtual void exchange(const PeerTarget &target, PeerMessage message, ExchangeHandler handler) = 0;
     virtual void fetchConfig(const PeerTarget &target, ConfigurationHandler handler) = 0;
@@ -51,6 +68,7 @@
     /// Not run by another process than target.process; the reply then says isOtherProcess.
     virtual void confirmNoOrdersInFlight(const PeerTarget &target, const DomainKey &domain, std::uint64_t epoch, ConfirmHandler handler) = 0;
     virtual void reportSignals(const PeerTarget &target, std::vector<PeerSignal> signals, DoneHandler handler) = 0;
+    virtual void fetchAssignment(const PeerTarget &target, std::vector<RecordStamp> known, AssignmentHandler handler) = 0;
 };
 
 /// Answers to calls of other daemons. Called on the control thread. The functions passed as @p answer may be called later,
@@ -64,6 +82,7 @@
     virtual void onRelinquishClaim(std::string service, std::string key, std::string token, std::function<void(RelinquishOutcome)> answer) = 0;
     virtual void onConfirmNoOrdersInFlight(DomainKey domain, std::uint64_t epoch, std::function<void(bool)> answer) = 0;
     virtual void onSignals(std::vector<PeerSignal> signals) = 0;
+    virtual SharedAssignment onFetchAssignment(const std::vector<RecordStamp> &known) = 0;
 };
 
 }
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -82,6 +82,21 @@
     weightThousandths @2 :UInt64;
 }
 
+struct RecordStamp {
+    name @0 :Text; # zone.domain
+    epoch @1 :UInt64;
+    sequence @2 :UInt64;
+}
+
+struct Vm {
+    id @0 :Text;
+    address @1 :Text;
+    zone @2 :Text;
+    domain @3 :Text;
+    pool @4 :Text;
+    isLeaving @5 :Bool;
+}
+
 struct Answer {
     process @0 :UInt64; # of the process that answers
     code @1 :UInt16; # result code; 100 is success
@@ -94,4 +109,6 @@
     relinquishClaim @2 (expectedProcess :UInt64, service :Text, key :Text, token :Text) -> (answer :Answer, outcome :UInt8);
     confirmNoOrdersInFlight @3 (expectedProcess :UInt64, zone :Text, domain :Text, epoch :UInt64) -> (answer :Answer, isConfirmed :Bool);
     reportSignals @4 (signals :List(Signal)) -> (answer :Answer);
+    # Domain records that are newer than the caller's, and the platform's VM list as the peer last saw it.
+    fetchAssignment @5 (known :List(RecordStamp)) -> (answer :Answer, records :List(Text), vms :List(Vm));
 }
--- a/src/protocol/peer.capnp.cpp
+++ b/src/protocol/peer.capnp.cpp
@@ -1047,6 +1047,198 @@
   0, 3, i_b81f2abeb1108532, nullptr, nullptr, { &s_b81f2abeb1108532, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_c696018bead8f89e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    158, 248, 216, 234, 139,   1, 150, 198,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     72, 146,  94, 123, 192, 161, 246, 211,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  82, 101,  99, 111, 114,
+    100,  83, 116,  97, 109, 112,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    110,  97, 109, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 112, 111,  99, 104,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 113, 117, 101, 110,  99, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c696018bead8f89e = b_c696018bead8f89e.words;
+#if !CAPNP_LITE
+static const uint16_t m_c696018bead8f89e[] = {1, 0, 2};
+static const uint16_t i_c696018bead8f89e[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_c696018bead8f89e = {
+  0xc696018bead8f89e, b_c696018bead8f89e.words, 63, nullptr, m_c696018bead8f89e,
+  0, 3, i_c696018bead8f89e, nullptr, nullptr, { &s_c696018bead8f89e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<107> b_e7f286e2e7ba955a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     90, 149, 186, 231, 226, 134, 242, 231,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     72, 146,  94, 123, 192, 161, 246, 211,
+      5,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  87,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  86, 109,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    153,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    157,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    161,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    156,   0,   0,   0,   3,   0,   1,   0,
+    168,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    165,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    169,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    173,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    172,   0,   0,   0,   3,   0,   1,   0,
+    184,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 111, 109,  97, 105, 110,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 111, 111, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  76, 101,  97, 118, 105, 110,
+    103,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e7f286e2e7ba955a = b_e7f286e2e7ba955a.words;
+#if !CAPNP_LITE
+static const uint16_t m_e7f286e2e7ba955a[] = {1, 3, 0, 5, 4, 2};
+static const uint16_t i_e7f286e2e7ba955a[] = {0, 1, 2, 3, 4, 5};
+const ::capnp::_::RawSchema s_e7f286e2e7ba955a = {
+  0xe7f286e2e7ba955a, b_e7f286e2e7ba955a.words, 107, nullptr, m_e7f286e2e7ba955a,
+  0, 6, i_e7f286e2e7ba955a, nullptr, nullptr, { &s_e7f286e2e7ba955a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_f7413d2e841bef6c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     108, 239,  27, 132,  46,  61,  65, 247,
@@ -1105,7 +1297,7 @@
   0, 2, i_f7413d2e841bef6c, nullptr, nullptr, { &s_f7413d2e841bef6c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<73> b_d20742f3dffabdc0 = {
+static const ::capnp::_::AlignedData<84> b_d20742f3dffabdc0 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     192, 189, 250, 223, 243,  66,   7, 210,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1115,53 +1307,61 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  71,   1,   0,   0,
-    245,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 135,   1,   0,   0,
+     33,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     204, 168,  57,  49, 157, 142,  91, 187,
     120,  55, 208, 190, 218, 186, 123, 238,
-    145,   0,   0,   0,  74,   0,   0,   0,
+    177,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     101, 235,  39, 151, 236, 215, 250, 181,
     132, 249,  14,  22, 102, 168, 245, 201,
-    125,   0,   0,   0,  98,   0,   0,   0,
+    157,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     170, 140,  79, 231, 168,   0, 230, 156,
     134, 169, 235, 133,  86, 244, 247, 145,
-    105,   0,   0,   0, 130,   0,   0,   0,
+    137,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     119, 180, 123,  34,  56, 129,  57, 250,
      28,  28, 132, 144, 175,  96,  37, 217,
-     85,   0,   0,   0, 194,   0,   0,   0,
+    117,   0,   0,   0, 194,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      47,  91, 224, 172, 245,  91, 203, 149,
     169,   1, 231, 227, 191, 113, 112, 231,
-     69,   0,   0,   0, 114,   0,   0,   0,
+    101,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+    167,  96,  49, 216, 125, 126, 218, 211,
+     63, 155, 126,  73,  53,  29, 241, 160,
+     81,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
     101, 120,  99, 104,  97, 110, 103, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -1178,6 +1378,9 @@
     114, 101, 112, 111, 114, 116,  83, 105,
     103, 110,  97, 108, 115,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    102, 101, 116,  99, 104,  65, 115, 115,
+    105, 103, 110, 109, 101, 110, 116,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d20742f3dffabdc0 = b_d20742f3dffabdc0.words;
@@ -1186,18 +1389,20 @@
   &s_91f7f45685eba986,
   &s_95cb5bf5ace05b2f,
   &s_9ce600a8e74f8caa,
+  &s_a0f11d35497e9b3f,
   &s_b5fad7ec9727eb65,
   &s_bb5b8e9d3139a8cc,
   &s_c9f5a866160ef984,
+  &s_d3da7e7dd83160a7,
   &s_d92560af90841c1c,
   &s_e77071bfe3e701a9,
   &s_ee7bbadabed03778,
   &s_fa398138227bb477,
 };
-static const uint16_t m_d20742f3dffabdc0[] = {3, 0, 1, 2, 4};
+static const uint16_t m_d20742f3dffabdc0[] = {3, 0, 5, 1, 2, 4};
 const ::capnp::_::RawSchema s_d20742f3dffabdc0 = {
-  0xd20742f3dffabdc0, b_d20742f3dffabdc0.words, 73, d_d20742f3dffabdc0, m_d20742f3dffabdc0,
-  10, 5, nullptr, nullptr, nullptr, { &s_d20742f3dffabdc0, nullptr, nullptr, 0, 0, nullptr }
+  0xd20742f3dffabdc0, b_d20742f3dffabdc0.words, 84, d_d20742f3dffabdc0, m_d20742f3dffabdc0,
+  12, 6, nullptr, nullptr, nullptr, { &s_d20742f3dffabdc0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_bb5b8e9d3139a8cc = {
@@ -1833,6 +2038,143 @@
   1, 1, i_e77071bfe3e701a9, nullptr, nullptr, { &s_e77071bfe3e701a9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_d3da7e7dd83160a7 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    167,  96,  49, 216, 125, 126, 218, 211,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    102, 101, 116,  99, 104,  65, 115, 115,
+    105, 103, 110, 109, 101, 110, 116,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    158, 248, 216, 234, 139,   1, 150, 198,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d3da7e7dd83160a7 = b_d3da7e7dd83160a7.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d3da7e7dd83160a7[] = {
+  &s_c696018bead8f89e,
+};
+static const uint16_t m_d3da7e7dd83160a7[] = {0};
+static const uint16_t i_d3da7e7dd83160a7[] = {0};
+const ::capnp::_::RawSchema s_d3da7e7dd83160a7 = {
+  0xd3da7e7dd83160a7, b_d3da7e7dd83160a7.words, 37, d_d3da7e7dd83160a7, m_d3da7e7dd83160a7,
+  1, 1, i_d3da7e7dd83160a7, nullptr, nullptr, { &s_d3da7e7dd83160a7, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<71> b_a0f11d35497e9b3f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     63, 155, 126,  73,  53,  29, 241, 160,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    102, 101, 116,  99, 104,  65, 115, 115,
+    105, 103, 110, 109, 101, 110, 116,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     96,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     93,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     88,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+     97, 110, 115, 119, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    108, 239,  27, 132,  46,  61,  65, 247,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 109, 115,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     90, 149, 186, 231, 226, 134, 242, 231,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a0f11d35497e9b3f = b_a0f11d35497e9b3f.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_a0f11d35497e9b3f[] = {
+  &s_e7f286e2e7ba955a,
+  &s_f7413d2e841bef6c,
+};
+static const uint16_t m_a0f11d35497e9b3f[] = {0, 1, 2};
+static const uint16_t i_a0f11d35497e9b3f[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a0f11d35497e9b3f = {
+  0xa0f11d35497e9b3f, b_a0f11d35497e9b3f.words, 71, d_a0f11d35497e9b3f, m_a0f11d35497e9b3f,
+  2, 3, i_a0f11d35497e9b3f, nullptr, nullptr, { &s_a0f11d35497e9b3f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1905,6 +2247,22 @@
 constexpr ::capnp::_::RawSchema const* Signal::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// RecordStamp
+constexpr uint16_t RecordStamp::_capnpPrivate::dataWordSize;
+constexpr uint16_t RecordStamp::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RecordStamp::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RecordStamp::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Vm
+constexpr uint16_t Vm::_capnpPrivate::dataWordSize;
+constexpr uint16_t Vm::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Vm::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Vm::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Answer
 constexpr uint16_t Answer::_capnpPrivate::dataWordSize;
 constexpr uint16_t Answer::_capnpPrivate::pointerCount;
@@ -1964,6 +2322,16 @@
       "peer.capnp:Peer", "reportSignals",
       0xd20742f3dffabdc0ull, 4);
 }
+::capnp::Request< ::carawaypoint::wire::Peer::FetchAssignmentParams,  ::carawaypoint::wire::Peer::FetchAssignmentResults>
+Peer::Client::fetchAssignmentRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::carawaypoint::wire::Peer::FetchAssignmentParams,  ::carawaypoint::wire::Peer::FetchAssignmentResults>(
+      0xd20742f3dffabdc0ull, 5, sizeHint);
+}
+::kj::Promise<void> Peer::Server::fetchAssignment(FetchAssignmentContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "fetchAssignment",
+      0xd20742f3dffabdc0ull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2008,6 +2376,12 @@
              ::carawaypoint::wire::Peer::ReportSignalsParams,  ::carawaypoint::wire::Peer::ReportSignalsResults>(context)),
         false
       };
+    case 5:
+      return {
+        fetchAssignment(::capnp::Capability::Server::internalGetTypedContext<
+             ::carawaypoint::wire::Peer::FetchAssignmentParams,  ::carawaypoint::wire::Peer::FetchAssignmentResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2103,6 +2477,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ReportSignalsResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::FetchAssignmentParams
+constexpr uint16_t Peer::FetchAssignmentParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FetchAssignmentParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::FetchAssignmentParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FetchAssignmentParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::FetchAssignmentResults
+constexpr uint16_t Peer::FetchAssignmentResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FetchAssignmentResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::FetchAssignmentResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FetchAssignmentResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(c5a1bddac7de28bb);
 CAPNP_DECLARE_SCHEMA(fd07bd6ba9bf714f);
 CAPNP_DECLARE_SCHEMA(b81f2abeb1108532);
+CAPNP_DECLARE_SCHEMA(c696018bead8f89e);
+CAPNP_DECLARE_SCHEMA(e7f286e2e7ba955a);
 CAPNP_DECLARE_SCHEMA(f7413d2e841bef6c);
 CAPNP_DECLARE_SCHEMA(d20742f3dffabdc0);
 CAPNP_DECLARE_SCHEMA(bb5b8e9d3139a8cc);
@@ -39,6 +41,8 @@
 CAPNP_DECLARE_SCHEMA(d92560af90841c1c);
 CAPNP_DECLARE_SCHEMA(95cb5bf5ace05b2f);
 CAPNP_DECLARE_SCHEMA(e77071bfe3e701a9);
+CAPNP_DECLARE_SCHEMA(d3da7e7dd83160a7);
+CAPNP_DECLARE_SCHEMA(a0f11d35497e9b3f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -170,6 +174,36 @@
   };
 };
 
+struct RecordStamp {
+  RecordStamp() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c696018bead8f89e, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Vm {
+  Vm() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e7f286e2e7ba955a, 1, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Answer {
   Answer() = delete;
 
@@ -203,6 +237,8 @@
   struct ConfirmNoOrdersInFlightResults;
   struct ReportSignalsParams;
   struct ReportSignalsResults;
+  struct FetchAssignmentParams;
+  struct FetchAssignmentResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -362,6 +398,36 @@
   };
 };
 
+struct Peer::FetchAssignmentParams {
+  FetchAssignmentParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3da7e7dd83160a7, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::FetchAssignmentResults {
+  FetchAssignmentResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a0f11d35497e9b3f, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Member::Reader {
@@ -1305,6 +1371,223 @@
 };
 #endif  // !CAPNP_LITE
 
+class RecordStamp::Reader {
+public:
+  typedef RecordStamp Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getSequence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RecordStamp::Builder {
+public:
+  typedef RecordStamp Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecordStamp::Pipeline {
+public:
+  typedef RecordStamp Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Vm::Reader {
+public:
+  typedef Vm Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline bool getIsLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Vm::Builder {
+public:
+  typedef Vm Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Vm::Pipeline {
+public:
+  typedef Vm Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Answer::Reader {
 public:
   typedef Answer Reads;
@@ -1415,6 +1698,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::carawaypoint::wire::Peer::ReportSignalsParams,  ::carawaypoint::wire::Peer::ReportSignalsResults> reportSignalsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypoint::wire::Peer::FetchAssignmentParams,  ::carawaypoint::wire::Peer::FetchAssignmentResults> fetchAssignmentRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1451,6 +1736,10 @@
   typedef  ::carawaypoint::wire::Peer::ReportSignalsResults ReportSignalsResults;
   typedef ::capnp::CallContext<ReportSignalsParams, ReportSignalsResults> ReportSignalsContext;
   virtual ::kj::Promise<void> reportSignals(ReportSignalsContext context);
+  typedef  ::carawaypoint::wire::Peer::FetchAssignmentParams FetchAssignmentParams;
+  typedef  ::carawaypoint::wire::Peer::FetchAssignmentResults FetchAssignmentResults;
+  typedef ::capnp::CallContext<FetchAssignmentParams, FetchAssignmentResults> FetchAssignmentContext;
+  virtual ::kj::Promise<void> fetchAssignment(FetchAssignmentContext context);
 
   inline  ::carawaypoint::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2355,30 +2644,214 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::FetchAssignmentParams::Reader {
+public:
+  typedef FetchAssignmentParams Reads;
 
-inline bool Member::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Member::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Member::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchAssignmentParams::Builder {
+public:
+  typedef FetchAssignmentParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKnown();
+  inline  ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>> disownKnown();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchAssignmentParams::Pipeline {
+public:
+  typedef FetchAssignmentParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FetchAssignmentResults::Reader {
+public:
+  typedef FetchAssignmentResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer() const;
+  inline  ::carawaypoint::wire::Answer::Reader getAnswer() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRecords() const;
+
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Reader getVms() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchAssignmentResults::Builder {
+public:
+  typedef FetchAssignmentResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer();
+  inline  ::carawaypoint::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::carawaypoint::wire::Answer::Reader value);
+  inline  ::carawaypoint::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::carawaypoint::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::carawaypoint::wire::Answer> disownAnswer();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRecords(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRecords();
+
+  inline bool hasVms();
+  inline  ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Builder getVms();
+  inline void setVms( ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>> disownVms();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchAssignmentResults::Pipeline {
+public:
+  typedef FetchAssignmentResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::carawaypoint::wire::Answer::Pipeline getAnswer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Member::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Member::Builder::adoptId(
@@ -3584,6 +4057,252 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RecordStamp::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordStamp::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RecordStamp::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RecordStamp::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordStamp::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RecordStamp::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RecordStamp::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RecordStamp::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RecordStamp::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordStamp::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordStamp::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RecordStamp::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordStamp::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecordStamp::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Vm::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Vm::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getProcess() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4245,6 +4964,151 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::FetchAssignmentParams::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchAssignmentParams::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Reader Peer::FetchAssignmentParams::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Builder Peer::FetchAssignmentParams::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchAssignmentParams::Builder::setKnown( ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>::Builder Peer::FetchAssignmentParams::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FetchAssignmentParams::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>> Peer::FetchAssignmentParams::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::RecordStamp,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchAssignmentResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchAssignmentResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypoint::wire::Answer::Reader Peer::FetchAssignmentResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::carawaypoint::wire::Answer::Builder Peer::FetchAssignmentResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::carawaypoint::wire::Answer::Pipeline Peer::FetchAssignmentResults::Pipeline::getAnswer() {
+  return  ::carawaypoint::wire::Answer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::FetchAssignmentResults::Builder::setAnswer( ::carawaypoint::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypoint::wire::Answer::Builder Peer::FetchAssignmentResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchAssignmentResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::carawaypoint::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypoint::wire::Answer> Peer::FetchAssignmentResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchAssignmentResults::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchAssignmentResults::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::FetchAssignmentResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::FetchAssignmentResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchAssignmentResults::Builder::setRecords( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Peer::FetchAssignmentResults::Builder::setRecords(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::FetchAssignmentResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FetchAssignmentResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::FetchAssignmentResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchAssignmentResults::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchAssignmentResults::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Reader Peer::FetchAssignmentResults::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Builder Peer::FetchAssignmentResults::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchAssignmentResults::Builder::setVms( ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>::Builder Peer::FetchAssignmentResults::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FetchAssignmentResults::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>> Peer::FetchAssignmentResults::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::Vm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/protocol/peer_service.cpp
+++ b/src/protocol/peer_service.cpp
@@ -209,6 +209,11 @@
         });
     }
 
+    std::error_code readValue(auto &response, SharedAssignment &value)
+    {
+        return guarded([&] { value = wire::readAssignment(response.getRecords(), response.getVms()); });
+    }
+
     std::error_code readValue(auto &response, bool &value)
     {
         if constexpr (requires { response.getIsConfirmed(); }) {
@@ -317,4 +322,13 @@
         });
 }
 
+void PeerService::fetchAssignment(const PeerTarget &target, std::vector<RecordStamp> known, AssignmentHandler handler)
+{
+    impl_->call<SharedAssignment>(target, impl_->options().fetchTimeout, std::move(handler), [known = std::move(known)](wire::Peer::Client &peer) {
+        auto request = peer.fetchAssignmentRequest();
+        wire::write(request.initKnown(static_cast<unsigned>(known.size())), known);
+        return request.send();
+    });
+}
+
 }
--- a/src/protocol/peer_service.h
+++ b/src/protocol/peer_service.h
@@ -56,6 +56,7 @@
     void relinquishClaim(const PeerTarget &target, std::string_view service, std::string_view key, std::string_view token, RelinquishHandler handler) override;
     void confirmNoOrdersInFlight(const PeerTarget &target, const DomainKey &domain, std::uint64_t epoch, ConfirmHandler handler) override;
     void reportSignals(const PeerTarget &target, std::vector<PeerSignal> signals, DoneHandler handler) override;
+    void fetchAssignment(const PeerTarget &target, std::vector<RecordStamp> known, AssignmentHandler handler) override;
 
 private:
     class Impl;
--- a/src/protocol/rpc_server.cpp
+++ b/src/protocol/rpc_server.cpp
@@ -119,6 +119,21 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> fetchAssignment(FetchAssignmentContext call) override
+    {
+        auto known = readOr<std::vector<RecordStamp>>(call, [&] { return wire::readStamps(call.getParams().getKnown()); });
+        if (!known) {
+            return kj::READY_NOW;
+        }
+        return askControl<SharedAssignment>([&handler = context_.handler, known = *known](auto answer) { answer(handler.onFetchAssignment(known)); })
+            .then([this, call](SharedAssignment &&assignment) mutable {
+                auto results = call.getResults();
+                setOk(results);
+                wire::write(results.initRecords(static_cast<unsigned>(assignment.records.size())), assignment.records);
+                wire::write(results.initVms(static_cast<unsigned>(assignment.vms.size())), assignment.vms);
+            });
+    }
+
 private:
     template<typename Results>
     void setOk(Results &results)
--- a/src/protocol/wire_conversion.cpp
+++ b/src/protocol/wire_conversion.cpp
@@ -279,4 +279,66 @@
     return signals;
 }
 
+void write(capnp::List<RecordStamp>::Builder builder, const std::vector<carawaypoint::RecordStamp> &stamps)
+{
+    for (unsigned i = 0; i < stamps.size(); ++i) {
+        builder[i].setName(stamps[i].name);
+        builder[i].setEpoch(stamps[i].epoch);
+        builder[i].setSequence(stamps[i].sequence);
+    }
+}
+
+std::vector<carawaypoint::RecordStamp> readStamps(capnp::List<RecordStamp>::Reader reader)
+{
+    if (reader.size() > MaxRecords) {
+        throw MalformedError("too many record stamps");
+    }
+    std::vector<carawaypoint::RecordStamp> stamps;
+    for (const auto stamp : reader) {
+        stamps.push_back({readText(stamp.getName()), stamp.getEpoch(), stamp.getSequence()});
+    }
+    return stamps;
+}
+
+void write(capnp::List<capnp::Text>::Builder builder, const std::vector<std::string> &texts)
+{
+    for (unsigned i = 0; i < texts.size(); ++i) {
+        builder.set(i, texts[i]);
+    }
+}
+
+void write(capnp::List<Vm>::Builder builder, const std::vector<VmRecord> &vms)
+{
+    for (unsigned i = 0; i < vms.size(); ++i) {
+        builder[i].setId(vms[i].id.str());
+        builder[i].setAddress(vms[i].address.toString());
+        builder[i].setZone(vms[i].zone.str());
+        builder[i].setDomain(vms[i].domain.str());
+        builder[i].setPool(vms[i].pool);
+        builder[i].setIsLeaving(vms[i].isLeaving);
+    }
+}
+
+SharedAssignment readAssignment(capnp::List<capnp::Text>::Reader records, capnp::List<Vm>::Reader vms)
+{
+    if (records.size() > MaxRecords || vms.size() > MaxVms) {
+        throw MalformedError("too many records or VMs");
+    }
+    SharedAssignment assignment;
+    for (const auto record : records) {
+        // The size of a record is bounded by that of the message.
+        assignment.records.emplace_back(record.begin(), record.size());
+    }
+    for (const auto vm : vms) {
+        VmRecord entry{VmId(readText(vm.getId())),     Endpoint::parse(readText(vm.getAddress())),
+                       ZoneId(readText(vm.getZone())), FabricDomainId(readText(vm.getDomain())),
+                       readText(vm.getPool()),         vm.getIsLeaving()};
+        if (!entry.address.isValid()) {
+            throw MalformedError("a VM's address is not address:port");
+        }
+        assignment.vms.push_back(std::move(entry));
+    }
+    return assignment;
+}
+
 }
--- a/src/protocol/wire_conversion.h
+++ b/src/protocol/wire_conversion.h
@@ -3,6 +3,7 @@
 // Conversion between the plain structs and the generated readers and builders; internal to the package.
 #include "membership/member_table.h"
 #include "membership/messages.h"
+#include "membership/peer_calls.h"
 #include "protocol/peer.capnp.h"
 
 #include <stdexcept>
@@ -21,11 +22,18 @@
 /// Longest identifier, fingerprint, key or token.
 constexpr std::size_t MaxTextBytes = 512;
 constexpr std::size_t MaxSignals = 64;
+constexpr std::size_t MaxRecords = 4096; // domains of a fleet
+constexpr std::size_t MaxVms = 65536;
 
 std::string readText(capnp::Text::Reader text);
 void write(Message::Builder builder, const PeerMessage &message);
 /// @throws MalformedError, or kj::Exception when a pointer is out of bounds.
 PeerMessage read(Message::Reader reader);
 std::vector<PeerSignal> readSignals(capnp::List<Signal>::Reader reader);
+void write(capnp::List<RecordStamp>::Builder builder, const std::vector<carawaypoint::RecordStamp> &stamps);
+std::vector<carawaypoint::RecordStamp> readStamps(capnp::List<RecordStamp>::Reader reader);
+void write(capnp::List<capnp::Text>::Builder builder, const std::vector<std::string> &texts);
+void write(capnp::List<Vm>::Builder builder, const std::vector<VmRecord> &vms);
+SharedAssignment readAssignment(capnp::List<capnp::Text>::Reader records, capnp::List<Vm>::Reader vms);
 
 }
--- a/tests/membership/configuration_agent_test.cpp
+++ b/tests/membership/configuration_agent_test.cpp
@@ -36,6 +36,9 @@
     void reportSignals(const PeerTarget &, std::vector<PeerSignal>, DoneHandler) override
     {
     }
+    void fetchAssignment(const PeerTarget &, std::vector<RecordStamp>, AssignmentHandler) override
+    {
+    }
 
     ConfigurationText configuration;
 };
--- a/tests/protocol/peer_service_test.cpp
+++ b/tests/protocol/peer_service_test.cpp
@@ -52,12 +52,19 @@
     {
         signals = std::move(received);
     }
+    SharedAssignment onFetchAssignment(const std::vector<RecordStamp> &known) override
+    {
+        stamps = known;
+        const VmRecord vm{VmId("vm1"), {"127.0.0.1", 9}, ZoneId("z1"), FabricDomainId("d1"), "accelerators", true};
+        return {{"a record", std::string(10'000, 'r')}, {vm}};
+    }
 
     int exchanges = 0;
     std::size_t textBytes = 900'000;
     bool isAnswering = true;
     std::string claim;
     std::vector<PeerSignal> signals;
+    std::vector<RecordStamp> stamps;
 };
 
 class PeerServiceTest : public testing::Test
@@ -160,6 +167,24 @@
     EXPECT_EQ(serverHandler_.signals.front().subject, "fp");
 }
 
+// Guards against records or VMs that are cut or mixed up on the way, which a zone without the platform would act on.
+TEST_F(PeerServiceTest, fetchesTheAssignment)
+{
+    bool isDone = false;
+    client_.fetchAssignment(target(), {{"z1.d1", 4, 77}}, [&](PeerReply reply, const SharedAssignment &assignment) {
+        EXPECT_FALSE(reply.error);
+        ASSERT_EQ(assignment.records.size(), 2U);
+        EXPECT_EQ(assignment.records[1], std::string(10'000, 'r'));
+        ASSERT_EQ(assignment.vms.size(), 1U);
+        EXPECT_EQ(assignment.vms[0].address.toString(), "127.0.0.1:9");
+        EXPECT_TRUE(assignment.vms[0].isLeaving);
+        isDone = true;
+    });
+    runUntil([&] { return isDone; });
+    ASSERT_EQ(serverHandler_.stamps.size(), 1U);
+    EXPECT_EQ(serverHandler_.stamps[0].sequence, 77U);
+}
+
 // Guards against taking the answer of a restarted process for that of the expected one, which would confirm the end of
 // orders that the former process may still have in flight.
 TEST_F(PeerServiceTest, tellsAnotherProcessApart)
