Log placement decisions under the replica that they create

Cause: create_replica was logged with an empty subject, so 'carawaypoint explain' could not show it. Seen failing first: logsPlacementDecisions finds no create_replica without the change (the subject was empty).

--- a/src/assignment/domain_controller.cpp
+++ b/src/assignment/domain_controller.cpp
@@ -21,7 +21,8 @@
 void logDecisions(const DomainRecord &record, const std::vector<Decision> &decisions)
 {
     for (const auto &decision : decisions) {
-        const auto &subject = decision.replica.isEmpty() ? decision.vm.str() : decision.replica.str();
+        const auto &vmOrDaemon = decision.vm.isEmpty() ? decision.controller.daemon.str() : decision.vm.str();
+        const auto &subject = decision.replica.isEmpty() ? vmOrDaemon : decision.replica.str();
         std::string members;
         for (const auto &member : decision.members) {
             members += (members.empty() ? "" : " ") + member.str();
--- a/src/assignment/repair.cpp
+++ b/src/assignment/repair.cpp
@@ -58,6 +58,9 @@
         if (!applyDecision(record_, decision, settings_)) {
             return false;
         }
+        if (decision.kind == DecisionKind::CreateReplica) {
+            decision.replica = record_.replicas.back().id;
+        }
         decisions_.push_back(std::move(decision));
         return true;
     }
--- a/tests/assignment/controller_test.cpp
+++ b/tests/assignment/controller_test.cpp
@@ -1,5 +1,6 @@
 #include "core/random.h"
 #include "core/result_code.h"
+#include "observe/decision_log.h"
 #include "support/zone_simulation.h"
 
 #include <gtest/gtest.h>
@@ -80,6 +81,23 @@
     EXPECT_GT(zone.stored("a").replica(replica.id)->fence, replica.fence);
 }
 
+// Guards against placement decisions that operators cannot look up by the replica.
+TEST_P(ControllerTest, logsPlacementDecisions)
+{
+    settle();
+    const auto replica = zone.stored("a").replicas.front();
+    zone.kill(replica.members.back().str());
+    settle();
+    std::vector<std::string> choices;
+    for (const auto &record : decisionLog().find(replica.id.str())) {
+        choices.push_back(record.choice);
+        EXPECT_EQ(record.kind, "placement");
+        EXPECT_FALSE(record.reason.empty());
+    }
+    EXPECT_EQ(std::count(choices.begin(), choices.end(), "replace_member") > 0, true);
+    EXPECT_EQ(std::count(choices.begin(), choices.end(), "create_replica") > 0, true);
+}
+
 // Guards against a former controller's late order that reaches a VM after it was given to another replica.
 TEST_P(ControllerTest, pausedControllersLateOrderFindsItsVmUnchanged)
 {
