Fix lint findings and test the static share

Change: the findings, without a change of behaviour, and a test of the fallback to the static share when the peer exchange is not fresh.

--- a/experiments/fleet.cpp
+++ b/experiments/fleet.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
+#include <unordered_map>
 
 namespace carawaypoint::experiments
 {
@@ -166,7 +166,7 @@
 
 void Fleet::publish(const Sample &sample)
 {
-    std::map<CustomerId, double> global;
+    std::unordered_map<CustomerId, double> global;
     std::vector<std::uint32_t> inFlight(engines_.size(), 0);
     std::vector<std::vector<std::uint32_t>> own(daemons_.size(), inFlight);
     for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
@@ -236,8 +236,8 @@
 void Fleet::deliverCacheUpdate(std::size_t replica, const CacheUpdate &update)
 {
     const ReplicaId id("r" + std::to_string(replica));
-    for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
-        if (daemons_[daemon]->applyCacheUpdate(id, 1, update)) {
+    for (const auto &daemon : daemons_) {
+        if (daemon->applyCacheUpdate(id, 1, update)) {
             continue;
         }
         // The daemon fetches the whole cache, which arrives as late as the events do.
@@ -245,7 +245,7 @@
         for (const std::uint64_t prefix : engines_[replica]->cachedPrefixes()) {
             complete.changes.push_back({0, prefix, false});
         }
-        loop_.after(settings_.cacheEventLag, [this, daemon, id, complete] { daemons_[daemon]->applyCacheUpdate(id, 1, complete); });
+        loop_.after(settings_.cacheEventLag, [dispatcher = daemon.get(), id, complete] { dispatcher->applyCacheUpdate(id, 1, complete); });
     }
 }
 
--- a/experiments/workload.cpp
+++ b/experiments/workload.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 constexpr std::uint32_t Customers = 10;
-constexpr std::size_t MaxDaemons = 7 * 1000; // reduced to the number of daemons by the fleet
+constexpr std::uint32_t MaxDaemons = 7000; // reduced to the number of daemons by the fleet
 }
 
 std::uint32_t uniform(RandomGenerator &random, std::uint32_t low, std::uint32_t high)
--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -424,9 +424,7 @@
             grant(ticket, choice, calls);
         } else if (!record.excluded.empty() || quarantine_.isSuspect(record.request.fingerprint)) {
             blocked.push_back(ticket);
-        } else if (!queue.mayPassOver()) {
-            return;
-        } else if (record.isLong) {
+        } else if (queue.mayPassOver() && record.isLong) {
             isLongBlocked = true;
         } else {
             return;
--- a/src/routing/prefix_index.cpp
+++ b/src/routing/prefix_index.cpp
@@ -66,8 +66,8 @@
 
 std::span<const std::uint64_t> PrefixIndex::holdersOfLongest(std::span<const std::uint64_t> prefixes) const
 {
-    for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
-        const auto found = holders_.find(*prefix);
+    for (std::size_t length = prefixes.size(); length > 0; --length) {
+        const auto found = holders_.find(prefixes[length - 1]);
         if (found != holders_.end()) {
             return found->second;
         }
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -83,6 +83,7 @@
     fixture.addReplica("r1", 2);
     fixture.publish();
     std::vector<Dispatcher::Ticket> tickets;
+    tickets.reserve(4);
     for (int i = 0; i < 4; ++i) {
         tickets.push_back(fixture.submit(fixture.request()));
     }
--- a/tests/routing/policies_test.cpp
+++ b/tests/routing/policies_test.cpp
@@ -1,3 +1,4 @@
+#include "routing/customer_accounts.h"
 #include "routing/fair_shares.h"
 #include "routing/outlier_ejector.h"
 #include "routing/prefix_index.h"
@@ -9,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <numeric>
+#include <unordered_map>
 
 namespace carawaypoint
 {
@@ -55,6 +57,28 @@
     EXPECT_LE(predictor.groups(), 4096U);
 }
 
+// Guards against daemons that are cut off from their peers using more than the static share, and against an allowance that
+// is ignored while the exchange works.
+TEST(CustomerAccounts, fallsBackToTheStaticShare)
+{
+    RoutingSnapshot snapshot;
+    snapshot.daemonsInZone = 4;
+    for (const char *id : {"a", "b"}) {
+        snapshot.customers.emplace_back().id = CustomerId(id);
+    }
+    snapshot.customers[0].weight = 3;
+    snapshot.customers[0].allowance = 50;
+    CustomerAccounts accounts;
+    snapshot.isPeerExchangeFresh = true;
+    accounts.update(snapshot, 160);
+    EXPECT_DOUBLE_EQ(accounts.guaranteedSlots(CustomerId("a")), 50);
+    snapshot.isPeerExchangeFresh = false;
+    accounts.update(snapshot, 160);
+    EXPECT_DOUBLE_EQ(accounts.guaranteedSlots(CustomerId("a")), 30);
+    EXPECT_DOUBLE_EQ(accounts.guaranteedSlots(CustomerId("b")), 10);
+    EXPECT_DOUBLE_EQ(accounts.claimShare(), 0.25);
+}
+
 // Guards against retries that add more than their share of load.
 TEST(RetryBudget, allowsOneRetryInTenRequests)
 {
@@ -116,11 +140,12 @@
         fixture.dispatcher->finish(ticket, AttemptOutcome::ReplicaLost, 0);
     }
     std::vector<std::pair<std::uint64_t, Dispatcher::Ticket>> again;
+    again.reserve(batch.size());
     for (const auto &[fingerprint, ticket] : batch) {
         again.emplace_back(fingerprint, fixture.resubmit(ticket, {first}));
     }
     // Fingerprint 1 crashes each replica that runs it; the others complete.
-    std::map<ReplicaId, int> losses{{first, 1}};
+    std::unordered_map<ReplicaId, int> losses{{first, 1}};
     for (int round = 0; round < 20; ++round) {
         for (const auto &[fingerprint, ticket] : again) {
             if (!fixture.isGranted(ticket)) {
@@ -149,6 +174,7 @@
 {
     OutlierEjector ejector;
     std::vector<ReplicaId> pool;
+    pool.reserve(6);
     for (int i = 0; i < 6; ++i) {
         pool.emplace_back("r" + std::to_string(i));
     }
@@ -224,6 +250,7 @@
     }
     fixture.publish();
     std::vector<Dispatcher::Ticket> flood;
+    flood.reserve(20);
     for (int i = 0; i < 20; ++i) {
         flood.push_back(fixture.submit(fixture.request("flood")));
     }
@@ -249,6 +276,7 @@
     fixture.clock.advance(milliseconds(1500));
     fixture.dispatcher->finish(first, AttemptOutcome::Completed, 5);
     std::vector<Dispatcher::Ticket> tickets;
+    tickets.reserve(5);
     for (int i = 0; i < 5; ++i) {
         tickets.push_back(fixture.submit(fixture.request()));
     }
