--- a/src/routing/corrected_two_choices_chooser.cpp
+++ b/src/routing/corrected_two_choices_chooser.cpp
@@ -12,7 +12,7 @@
 {
 // A replica that caches the prefix is used up to this much above the mean load.
 constexpr double AffinityLoadFactor = 1.25;
-constexpr unsigned Samples = 4;
+constexpr unsigned Samples = 2;
 // Own requests without a first token on a replica, above which work above its share waits in the daemon: there it can still
 // be placed elsewhere or refused in time.
 constexpr std::uint32_t MaxStarting = 1;
