State two waiting rules of the dispatcher in its header

Cause: the front end depends on the wait after a broken stream and on when a replica becomes eligible again after a loss.

Change: comments only.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -80,7 +80,8 @@
     /// Takes a waiting request out of the queue; false when its handler was or is being called.
     virtual bool cancel(Ticket ticket) = 0;
     /// Asks for another replica for a granted request whose attempt failed, without the ones in @p excluded.
-    /// Counts against the retry budget. The slot of the failed attempt must be given up with finish() first.
+    /// Counts against the retry budget. The slot of the failed attempt must be given up with finish() first. A request that
+    /// has delivered tokens may wait 2 s for its next replica, whatever its deadline for the first token.
     virtual Ticket resubmit(Ticket ticket, std::span<const ReplicaId> excluded, GrantHandler handler) = 0;
     /// Reports tokens received so far for a granted request, for reclassification and straggler detection.
     virtual void reportProgress(Ticket ticket, std::uint32_t tokens) = 0;
@@ -89,7 +90,8 @@
     virtual void setSnapshot(RoutingSnapshotPtr snapshot) = 0;
     /// Refuses requests whose deadline passed and grants what became possible. Called every 10 ms.
     virtual void tick() = 0;
-    /// Whether the replica may still take new work at this moment; checked immediately before the first byte is sent.
+    /// Whether the replica may still take new work at this moment; checked immediately before the first byte is sent. After
+    /// an attempt ended with ReplicaLost, every member has to be seen again first.
     virtual bool isEligible(const ReplicaId &replica, std::uint64_t incarnation) const = 0;
 
     /// Slots wanted (in flight and waiting) per customer, and requests in flight per replica, for the exchange with peers.
