--- a/src/idempotency/claim_outcomes.cpp
+++ b/src/idempotency/claim_outcomes.cpp
@@ -203,12 +203,11 @@
     while (cleanupAllowance_ >= 1 && !expiring_.empty() && expiring_.begin()->first < limit) {
         cleanupAllowance_ -= 1;
         const auto oldest = expiring_.extract(expiring_.begin()).value();
-        dependencies_.objects->remove(ObjectKind, oldest.second, WriteCondition::always(),
-                                      [this, alive = alive_, oldest](std::error_code error) {
-                                          if (*alive && error && error != ResultCode::ObjectNotFound && expiring_.size() < settings_.maxKeptForCleanup) {
-                                              expiring_.insert(oldest);
-                                          }
-                                      });
+        dependencies_.objects->remove(ObjectKind, oldest.second, WriteCondition::always(), [this, alive = alive_, oldest](std::error_code error) {
+            if (*alive && error && error != ResultCode::ObjectNotFound && expiring_.size() < settings_.maxKeptForCleanup) {
+                expiring_.insert(oldest);
+            }
+        });
     }
 }
 
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -183,7 +183,8 @@
 {
     const bool keepAlive = request.message.keep_alive() && !reply.closesConnection && !loop_.context.isDraining;
     const bool isSent = co_await channel_->send(reply, request.id, keepAlive);
-    if (auto *metrics = loop_.context.dependencies.metrics) {
+    const bool isProbe = request.target() == "/healthz" || request.target() == "/readyz";
+    if (auto *metrics = loop_.context.dependencies.metrics; metrics != nullptr && !isProbe) {
         metrics->requestFinished(reply.code, reply.state, loop_.context.dependencies.clock->now() - arrivedAt_);
     }
     co_return isSent &&keepAlive;
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -155,6 +155,9 @@
         loop_.context.count(ServingEvent::WrongAttemptDropped);
         co_return failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, "the answer carries another attempt id");
     }
+    if (!reader_->parser.get().keep_alive()) {
+        loop_.context.signal({ServerSignal::Kind::Leaving, plan_.decision.leader, plan_.decision.replica, plan_.decision.incarnation, {}});
+    }
     const auto status = reader_->parser.get().result_int();
     if (status != 200) {
         co_return co_await readRefusal(status);
--- a/src/serving/http_front_end.h
+++ b/src/serving/http_front_end.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/routing_snapshot.h"
+#include "idempotency/peer_claims.h"
 #include "serving/front_end_settings.h"
 #include "serving/server_signal.h"
 
@@ -18,7 +19,6 @@
 class Dispatcher;
 class ServingMetrics;
 class ObjectStore;
-class PeerClaims;
 class ClaimStore;
 struct ClaimStoreSettings;
 
@@ -61,8 +61,11 @@
     /// Requests that were received and not yet answered.
     std::uint64_t requestsInProgress() const;
 
-    /// Runs @p action with the claim store on its executor, for what peers ask or report: ClaimStore::relinquish(),
-    /// observeRevision(), noteRestore() and sweep(). Thread-safe; does nothing when no claims are used.
+    /// A peer asks this daemon to give a claim up. Thread-safe; @p handler is called on the executor of claimObjects, or at
+    /// once with Unreachable when no claims are used.
+    void relinquishClaim(ClaimReference claim, PeerClaims::Handler handler);
+    /// Runs @p action with the claim store on its executor, for what peers and watches report: ClaimStore::observeRevision(),
+    /// noteRestore() and sweep(). Thread-safe; does nothing when no claims are used.
     void withClaims(std::function<void(ClaimStore &)> action);
 
     /// Ends the traffic threads and breaks what is still in progress. Not to be called on a traffic thread.
