--- a/src/idempotency/claim_record.h
+++ b/src/idempotency/claim_record.h
@@ -15,7 +15,7 @@
     MemberId member;
     std::uint64_t process = 0; // incarnation
 
-    auto operator<=>(const ClaimOwner &) const = default;
+    bool operator==(const ClaimOwner &) const = default;
 };
 
 /// The server's answer as it is kept for re-sent calls.
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-constexpr std::size_t InputBytes = 4 * 1024;
-constexpr std::size_t MaxDiscardedBytes = 256 * 1024; // read after a refusal, so that the caller's kernel delivers the response
+constexpr std::size_t InputBytes = 4UL * 1024;
+constexpr std::size_t MaxDiscardedBytes = 256UL * 1024; // read after a refusal, so that the caller's kernel delivers the response
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr auto DiscardTime = seconds(1);
 
--- a/src/serving/connection_pool.h
+++ b/src/serving/connection_pool.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "serving/connection.h"
+#include "serving/endpoint_less.h"
 #include "serving/front_end_settings.h"
 
 #include <deque>
@@ -45,7 +46,7 @@
     asio::io_context &io_;
     const FrontEndSettings &settings_;
     const Clock &clock_;
-    std::map<Endpoint, std::deque<Idle>> idle_;
+    std::map<Endpoint, std::deque<Idle>, EndpointLess> idle_;
 };
 
 }
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-constexpr std::size_t ReadBytes = 16 * 1024;
-constexpr std::size_t MaxRefusalBytes = 4 * 1024;
+constexpr std::size_t ReadBytes = 16UL * 1024;
+constexpr std::size_t MaxRefusalBytes = 4UL * 1024;
 constexpr std::uint32_t MaxCancelsInProgress = 512; // per thread; an engine that gets no cancel ends the attempt at its own limit
 constexpr auto RestTimeout = seconds(1); // for the end of the chunked encoding after the end marker
 
--- a/src/serving/leaving_servers.h
+++ b/src/serving/leaving_servers.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "serving/endpoint_less.h"
 
 #include <map>
 #include <mutex>
@@ -18,7 +19,7 @@
 
 private:
     mutable std::mutex mutex_;
-    std::map<Endpoint, TimePoint> until_;
+    std::map<Endpoint, TimePoint, EndpointLess> until_;
 };
 
 }
