--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-constexpr std::size_t InputBytes = 4 * 1024;
-constexpr std::size_t MaxDiscardedBytes = 256 * 1024; // read after a refusal, so that the caller's kernel delivers the response
+constexpr std::size_t InputBytes = 4UL * 1024;
+constexpr std::size_t MaxDiscardedBytes = 256UL * 1024; // read after a refusal, so that the caller's kernel delivers the response
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr auto DiscardTime = seconds(1);
 
@@ -183,7 +183,8 @@
 {
     const bool keepAlive = request.message.keep_alive() && !reply.closesConnection && !loop_.context.isDraining;
     const bool isSent = co_await channel_->send(reply, request.id, keepAlive);
-    if (auto *metrics = loop_.context.dependencies.metrics) {
+    const bool isProbe = request.target() == "/healthz" || request.target() == "/readyz";
+    if (auto *metrics = loop_.context.dependencies.metrics; metrics != nullptr && !isProbe) {
         metrics->requestFinished(reply.code, reply.state, loop_.context.dependencies.clock->now() - arrivedAt_);
     }
     co_return isSent &&keepAlive;
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-constexpr std::size_t ReadBytes = 16 * 1024;
-constexpr std::size_t MaxRefusalBytes = 4 * 1024;
+constexpr std::size_t ReadBytes = 16UL * 1024;
+constexpr std::size_t MaxRefusalBytes = 4UL * 1024;
 constexpr std::uint32_t MaxCancelsInProgress = 512; // per thread; an engine that gets no cancel ends the attempt at its own limit
 constexpr auto RestTimeout = seconds(1); // for the end of the chunked encoding after the end marker
 
@@ -155,6 +155,9 @@
         loop_.context.count(ServingEvent::WrongAttemptDropped);
         co_return failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, "the answer carries another attempt id");
     }
+    if (!reader_->parser.get().keep_alive()) {
+        loop_.context.signal({ServerSignal::Kind::Leaving, plan_.decision.leader, plan_.decision.replica, plan_.decision.incarnation, {}});
+    }
     const auto status = reader_->parser.get().result_int();
     if (status != 200) {
         co_return co_await readRefusal(status);
