--- a/experiments/membership_cost.cpp
+++ b/experiments/membership_cost.cpp
@@ -7,12 +7,11 @@
 #include "protocol/message_codec.h"
 #include "simulated_fleet.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
+#include <malloc.h>
 
 namespace carawaypoint
 {
@@ -80,7 +79,9 @@
         fleet_.run(carawaypoint::seconds(20));
         assignServers();
         fleet_.run(carawaypoint::seconds(20));
-        fleet_.carry = [this](std::size_t from, std::size_t to, PeerMessage message) { return carry(from, to, std::move(message)); };
+        fleet_.carry = [this](std::size_t from, std::size_t to, PeerMessage message) {
+            return carry(from, to, std::move(message));
+        };
         const auto begin = cpuSeconds();
         double excluded = 0;
         Cost cost;
@@ -163,7 +164,8 @@
                 customers.push_back({i, static_cast<std::uint16_t>(random_() % 50)});
             }
             for (int i = 0; i < std::min(size_.replicas, 30); ++i) {
-                replicas.push_back({static_cast<std::uint32_t>(random_()) % static_cast<std::uint32_t>(size_.replicas), static_cast<std::uint16_t>(1 + random_() % 4)});
+                replicas.push_back(
+                    {static_cast<std::uint32_t>(random_()) % static_cast<std::uint32_t>(size_.replicas), static_cast<std::uint16_t>(1 + random_() % 4)});
             }
             table.setDemand(std::move(customers), std::move(replicas));
             round(index, start + seconds(1));
@@ -204,9 +206,8 @@
 
 void printRow(const char *name, const Fleet &size, const Cost &cost)
 {
-    std::printf("%-12s %4d %3d %5d %4d %9.0f %9.0f %8.3f %8.2f %9.4f %9.4f %7.1f %s\n", name, size.members, size.zones, size.runners, size.replicas,
-                cost.bytes, cost.maxBytes, cost.cpuPercent, cost.memory / 1e6, cost.stalePercent, cost.foreignStalePercent, cost.foreignOldest,
-                verdict(cost));
+    std::printf("%-12s %4d %3d %5d %4d %9.0f %9.0f %8.3f %8.2f %9.4f %9.4f %7.1f %s\n", name, size.members, size.zones, size.runners, size.replicas, cost.bytes,
+                cost.maxBytes, cost.cpuPercent, cost.memory / 1e6, cost.stalePercent, cost.foreignStalePercent, cost.foreignOldest, verdict(cost));
     std::fflush(stdout);
 }
 
@@ -222,8 +223,8 @@
     std::printf("%-12s %4s %3s %5s %4s %9s %9s %8s %8s %9s %9s %7s\n", "strategy", "N", "Z", "S", "R", "bytes/s", "max", "cpu%", "MB", "stale%", "foreign%",
                 "oldest");
     const Fleet sizes[] = {
-        {7, 3, 65, 16}, {21, 3, 65, 16}, {42, 4, 325, 81}, {83, 1, 325, 81}, {83, 4, 325, 81}, {166, 4, 650, 162}, {330, 4, 1300, 325}, {330, 8, 1300, 325},
-        {332, 4, 65, 16}, {332, 4, 1300, 325},
+        {7, 3, 65, 16},     {21, 3, 65, 16},     {42, 4, 325, 81},    {83, 1, 325, 81}, {83, 4, 325, 81},
+        {166, 4, 650, 162}, {330, 4, 1300, 325}, {330, 8, 1300, 325}, {332, 4, 65, 16}, {332, 4, 1300, 325},
     };
     for (const auto &size : sizes) {
         printRow("changes", size, Measurement(size, DisseminationStrategy::ChangesOnly).run(duration));
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -34,7 +34,7 @@
     unsigned alonePeriods = 10; // without any other live member in the zone, after which this one is current by itself
     Duration observationBound = seconds(3);
     Duration signalRetention = minutes(10); // of crash suspects and leaving signals
-    double demandRecordsPerSecond = 6; // of a whole zone; bounds the cost of demand and load in large zones
+    double demandRecordsPerSecond = 5; // of a whole zone; bounds the cost of demand and load in large zones
     DisseminationStrategy strategy = DisseminationStrategy::ChangesOnly;
 };
 
@@ -177,7 +177,7 @@
     StateEntry pendingDemand_;
     std::map<VmId, ServerState> pendingLoad_;
     std::map<ZoneId, TimePoint> zoneDemandAt_; // of the last ZoneDemand that this bridge published
-    TimePoint demandPublishedAt_{};
+    TimePoint nextDemandAt_{};
     std::deque<std::pair<TimePoint, std::pair<EntryKind, std::string>>> ownSignals_;
     std::vector<PeerSignal> signals_;
     std::uint64_t platformRevision_ = 0;
--- a/src/membership/member_table_state.cpp
+++ b/src/membership/member_table_state.cpp
@@ -1,6 +1,7 @@
 // Feeds of local state and sums over peers, separate from the exchange in member_table.cpp.
 #include "membership/member_table.h"
 #include "membership/rendezvous.h"
+#include "membership/roles.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,7 +13,7 @@
 {
 
 // Largest counters of a member that its record carries; the rest is too small to change a choice.
-constexpr std::size_t MaxOwnCounts = 12;
+constexpr std::size_t MaxOwnCounts = 8;
 // Likewise of a zone's sum for the other zones, and the time between two sums: the sum costs every member of the other
 // zone its whole size, and foreign replicas are only used when the own zone is full.
 constexpr std::size_t MaxZoneCounts = 48;
@@ -75,12 +76,14 @@
 
 void MemberTable::publishDemand(TimePoint now)
 {
-    const auto members = static_cast<double>(list_.live(list_.self().zone).size());
-    const auto interval = std::max(options_.period, Duration(static_cast<std::int64_t>(members / options_.demandRecordsPerSecond * 1e6)));
-    if (now - demandPublishedAt_ < interval) {
+    if (now < nextDemandAt_) {
         return;
     }
-    demandPublishedAt_ = now;
+    const auto live = list_.live(list_.self().zone);
+    const auto interval =
+        std::max(options_.period, Duration(static_cast<std::int64_t>(static_cast<double>(live.size()) / options_.demandRecordsPerSecond * 1e6)));
+    // Half of the interval at random keeps members that started together from publishing together.
+    nextDemandAt_ = now + interval * 3 / 4 + Duration(static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(interval.count() / 2)));
     state_.setOwn(pendingDemand_, now, false);
     for (const auto &[vm, server] : pendingLoad_) {
         StateEntry entry;
@@ -90,6 +93,12 @@
         entry.server.queued = server.queued;
         entry.server.runningLong = server.runningLong;
         entry.server.tokensPerSecond = server.tokensPerSecond;
+        // The first of the two probers publishes the load.
+        const auto probers = probersOf(vm, live);
+        if (probers.empty() || probers.front() != list_.self().id) {
+            state_.removeOwn(EntryKind::Load, vm.str(), now);
+            continue;
+        }
         const bool isIdle = entry.server == ServerState{};
         if (!isIdle || state_.findOwn(EntryKind::Load, vm.str()) != nullptr) {
             state_.setOwn(std::move(entry), now, false);
--- a/src/membership/shared_observations.cpp
+++ b/src/membership/shared_observations.cpp
@@ -34,17 +34,28 @@
     return seen;
 }
 
-void SharedState::addLoad(const Owner &owner, ObservedServer &server)
+void SharedState::addLoads(std::map<std::string, ObservedServer> &servers) const
 {
-    const auto load = owner.entries.find({EntryKind::Load, server.vm.str()});
-    if (load == owner.entries.end() || load->second.isRemoved) {
-        return;
+    std::map<std::string, TimePoint> reportedAt;
+    const auto add = [&](const Owner &owner) {
+        for (auto it = owner.entries.lower_bound({EntryKind::Load, {}}); it != owner.entries.end() && it->first.first == EntryKind::Load; ++it) {
+            const auto found = servers.find(it->second.key);
+            if (found == servers.end() || it->second.isRemoved || owner.lastSeen < reportedAt[it->second.key]) {
+                continue;
+            }
+            reportedAt[it->second.key] = owner.lastSeen;
+            const auto &known = it->second.server;
+            auto &state = found->second.state;
+            state.running = known.running;
+            state.queued = known.queued;
+            state.runningLong = known.runningLong;
+            state.tokensPerSecond = known.tokensPerSecond;
+        }
+    };
+    add(own_);
+    for (const auto &[key, owner] : owners_) {
+        add(owner);
     }
-    const auto &known = load->second.server;
-    server.state.running = known.running;
-    server.state.queued = known.queued;
-    server.state.runningLong = known.runningLong;
-    server.state.tokensPerSecond = known.tokensPerSecond;
 }
 
 std::vector<ObservedServer> SharedState::observations(TimePoint now) const
@@ -65,7 +76,6 @@
             const bool isLeaving = server.state.isLeaving || entry.server.isLeaving;
             if (isNew || seen > server.lastSeen || (seen == server.lastSeen && entry.server.fencing > server.state.fencing)) {
                 server = {VmId(entry.key), owner.zone, entry.server, std::min(seen, now)};
-                addLoad(owner, server);
             }
             server.state.isLeaving = isLeaving; // either prober's word is enough
         }
@@ -74,6 +84,7 @@
     for (const auto &[key, owner] : owners_) {
         add(owner);
     }
+    addLoads(servers);
     std::vector<ObservedServer> result;
     result.reserve(servers.size());
     for (auto &[vm, server] : servers) {
--- a/src/membership/shared_state.cpp
+++ b/src/membership/shared_state.cpp
@@ -24,7 +24,8 @@
 
 constexpr bool isZoneLocal(EntryKind kind)
 {
-    return kind == EntryKind::Demand || kind == EntryKind::Load || kind == EntryKind::ZoneFreshness || kind == EntryKind::ZoneMissing || kind == EntryKind::ZoneDemand;
+    return kind == EntryKind::Demand || kind == EntryKind::Load || kind == EntryKind::ZoneFreshness || kind == EntryKind::ZoneMissing
+        || kind == EntryKind::ZoneDemand;
 }
 
 bool isSameValue(const StateEntry &a, const StateEntry &b)
--- a/src/membership/shared_state.h
+++ b/src/membership/shared_state.h
@@ -110,7 +110,7 @@
     std::optional<OwnerDelta> deltaFor(const Owner &owner, std::uint32_t known, const ZoneId &reader, std::size_t limit) const;
     void boundRemoved(TimePoint now);
     const Owner *owner(std::uint32_t key) const;
-    static void addLoad(const Owner &owner, ObservedServer &server);
+    void addLoads(std::map<std::string, ObservedServer> &servers) const;
     TimePoint foreignSeen(const ZoneId &zone, const std::string &vm, TimePoint now) const;
 
     MemberRecord self_;
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -123,12 +123,16 @@
     fleet.addZone(1, 7);
     fleet.startAll();
     fleet.run(seconds(20));
-    fleet.isCut = [](const auto &a, const auto &b) { return a.record.zone != b.record.zone; };
+    fleet.isCut = [](const auto &a, const auto &b) {
+        return a.record.zone != b.record.zone;
+    };
     fleet.run(minutes(12)); // longer than a 16-bit stamp would allow
     EXPECT_TRUE(fleet.table(0).isCurrent(fleet.now())); // the zone goes on by itself
     EXPECT_TRUE(sees(fleet, 0, 1));
     fleet.stop(8); // unseen by the other zone
-    fleet.isCut = [](const auto &, const auto &) { return false; };
+    fleet.isCut = [](const auto &, const auto &) {
+        return false;
+    };
     EXPECT_LT(timeUntil(fleet, seconds(60), [&] { return allSee(fleet, 8, false); }), seconds(30));
 }
 
@@ -139,11 +143,17 @@
     fleet.addZone(0, 10);
     fleet.startAll();
     fleet.run(seconds(20));
-    const auto half = [](const SimulatedFleet::Node &node) { return node.record.id.str().back() < '5'; };
-    fleet.isCut = [half](const auto &a, const auto &b) { return half(a) != half(b); };
+    const auto half = [](const SimulatedFleet::Node &node) {
+        return node.record.id.str().back() < '5';
+    };
+    fleet.isCut = [half](const auto &a, const auto &b) {
+        return half(a) != half(b);
+    };
     fleet.run(seconds(30));
     EXPECT_FALSE(sees(fleet, 0, 9));
-    fleet.isCut = [](const auto &, const auto &) { return false; };
+    fleet.isCut = [](const auto &, const auto &) {
+        return false;
+    };
     EXPECT_LT(timeUntil(fleet, seconds(60), [&] { return allSeeAll(fleet); }), seconds(30));
 }
 
@@ -169,7 +179,9 @@
     };
     fleet.run(seconds(5));
     ASSERT_LT(fleet.now() - fleet.table(watcher).observations(fleet.now()).at(0).lastSeen, seconds(3));
-    fleet.isCut = [](const auto &, const auto &) { return true; }; // so that it cannot exchange when it wakes
+    fleet.isCut = [](const auto &, const auto &) {
+        return true;
+    }; // so that it cannot exchange when it wakes
     fleet.pause(watcher, seconds(20));
     fleet.run(milliseconds(19'990));
     const auto wake = fleet.now() + milliseconds(10);
@@ -178,7 +190,9 @@
     EXPECT_EQ(fleet.table(watcher).observations(wake).at(0).lastSeen, TimePoint{});
     fleet.run(seconds(2));
     EXPECT_FALSE(fleet.table(watcher).isCurrent(fleet.now()));
-    fleet.isCut = [](const auto &, const auto &) { return false; };
+    fleet.isCut = [](const auto &, const auto &) {
+        return false;
+    };
     EXPECT_LT(timeUntil(fleet, seconds(60), [&] { return fleet.table(watcher).isCurrent(fleet.now()); }), seconds(20));
 }
 
@@ -342,11 +356,15 @@
         }
     };
     fleet.run(seconds(10));
-    const auto lastSeen = [&](std::size_t index) { return fleet.table(index).observations(fleet.now()).at(0).lastSeen; };
+    const auto lastSeen = [&](std::size_t index) {
+        return fleet.table(index).observations(fleet.now()).at(0).lastSeen;
+    };
     EXPECT_LT(fleet.now() - lastSeen(8), seconds(6));
     EXPECT_GT(fleet.now() - lastSeen(8), Duration(0));
     const auto cutAt = fleet.now();
-    fleet.isCut = [](const auto &a, const auto &b) { return a.record.zone != b.record.zone; };
+    fleet.isCut = [](const auto &a, const auto &b) {
+        return a.record.zone != b.record.zone;
+    };
     for (int minute = 0; minute < 13; ++minute) {
         fleet.run(seconds(60));
         for (std::size_t i = 7; i < 14; ++i) {
@@ -354,7 +372,9 @@
         }
         ASSERT_LT(fleet.now() - lastSeen(3), seconds(3));
     }
-    fleet.isCut = [](const auto &, const auto &) { return false; };
+    fleet.isCut = [](const auto &, const auto &) {
+        return false;
+    };
     fleet.run(seconds(20));
     EXPECT_LT(fleet.now() - lastSeen(8), seconds(6));
 }
@@ -367,7 +387,9 @@
     fleet.addZone(1, 3);
     fleet.startAll();
     fleet.run(seconds(20));
-    fleet.isCut = [](const auto &a, const auto &b) { return a.record.zone != b.record.zone; };
+    fleet.isCut = [](const auto &a, const auto &b) {
+        return a.record.zone != b.record.zone;
+    };
     fleet.run(seconds(60));
     for (std::size_t i = 0; i < 6; ++i) {
         EXPECT_EQ(fleet.table(i).members().suspicionCount(), 0U);
@@ -388,7 +410,9 @@
     entry.key = "vm";
     entry.server.isSeen = true;
     source.setOwn(entry, now, true);
-    const auto pull = [&] { state.apply(source.newerDeltas(state.zoneStamps(now), ZoneId("z"), 64, random), source.zoneStamps(now), now); };
+    const auto pull = [&] {
+        state.apply(source.newerDeltas(state.zoneStamps(now), ZoneId("z"), 64, random), source.zoneStamps(now), now);
+    };
     for (int i = 0; i < 3; ++i) {
         now += seconds(1);
         source.markOwnSeen(now);
