--- a/experiments/membership_cost.cpp
+++ b/experiments/membership_cost.cpp
@@ -1,6 +1,6 @@
 // Cost of the membership protocol per daemon, measured with the real table and the real codec on a virtual clock.
 //
-//   membership_cost [seconds]     prints one row per fleet, strategy and zone count
+//   membership_cost [seconds [least members]]     prints one row per fleet, strategy and zone count
 //
 // Bytes count both directions. Each message adds CallOverheadBytes for the call's framing and TCP/IP, since only its body is
 // encoded here. CPU time is the thread's, over tables and codec of all daemons, and leaves out sockets and the RPC library.
@@ -226,11 +226,17 @@
         {7, 3, 65, 16},     {21, 3, 65, 16},     {42, 4, 325, 81},    {83, 1, 325, 81}, {83, 4, 325, 81},
         {166, 4, 650, 162}, {330, 4, 1300, 325}, {330, 8, 1300, 325}, {332, 4, 65, 16}, {332, 4, 1300, 325},
     };
+    const int least = argc > 2 ? std::atoi(argv[2]) : 0;
     for (const auto &size : sizes) {
-        printRow("changes", size, Measurement(size, DisseminationStrategy::ChangesOnly).run(duration));
+        if (size.members >= least) {
+            printRow("changes", size, Measurement(size, DisseminationStrategy::ChangesOnly).run(duration));
+        }
     }
     // full_state takes too long beyond this size; its messages grow with members and servers, so the cost is extrapolated.
     for (const auto &size : {sizes[0], sizes[1], sizes[2], sizes[4]}) {
+        if (size.members < least) {
+            continue;
+        }
         printRow("full_state", size, Measurement(size, DisseminationStrategy::FullState).run(duration));
     }
     return 0;
--- a/src/membership/member_table_state.cpp
+++ b/src/membership/member_table_state.cpp
@@ -17,7 +17,7 @@
 // Likewise of a zone's sum for the other zones, and the time between two sums: the sum costs every member of the other
 // zone its whole size, and foreign replicas are only used when the own zone is full.
 constexpr std::size_t MaxZoneCounts = 48;
-constexpr Duration ZoneDemandInterval = seconds(5);
+constexpr Duration ZoneDemandInterval = seconds(10);
 // Crash suspects and leaving signals that one member publishes at a time.
 constexpr std::size_t MaxOwnSignals = 64;
 
@@ -271,14 +271,15 @@
         freshness.key = zone;
         freshness.number = static_cast<std::uint64_t>((now.time_since_epoch() - milliseconds(summary.ageMs)) / StampUnit);
         const auto *known = state_.findOwn(EntryKind::ZoneFreshness, zone);
-        // Half a period between two entries; a bridge also hears from the other zone's bridges.
-        const auto step = static_cast<std::uint64_t>(options_.period / 2 / StampUnit);
+        // One entry a period at most; a bridge also hears from the other zone's bridges.
+        const auto step = static_cast<std::uint64_t>(options_.period * 9 / 10 / StampUnit);
         if (known == nullptr || known->number + step < freshness.number) {
             state_.setOwn(std::move(freshness), now, false);
         }
     }
     auto &publishedAt = zoneDemandAt_[message.sender.zone];
-    if (now - publishedAt < ZoneDemandInterval) {
+    const auto bridges = bridgesOf(list_.self().zone, message.sender.zone, list_.live(list_.self().zone));
+    if (now - publishedAt < ZoneDemandInterval || bridges.front() != list_.self().id) {
         return;
     }
     publishedAt = now;
--- a/src/membership/membership_agent.cpp
+++ b/src/membership/membership_agent.cpp
@@ -31,7 +31,7 @@
 class MembershipAgent::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    Impl(boost::asio::any_io_executor control,
+    Impl(const boost::asio::any_io_executor &control,
          const Clock &clock,
          ObjectStore &store,
          ConfigurationAgent &configuration,
