--- a/src/membership/member_table_state.cpp
+++ b/src/membership/member_table_state.cpp
@@ -1,6 +1,7 @@
 // Feeds of local state and sums over peers, separate from the exchange in member_table.cpp.
 #include "membership/member_table.h"
 #include "membership/rendezvous.h"
+#include "membership/roles.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,11 +13,11 @@
 {
 
 // Largest counters of a member that its record carries; the rest is too small to change a choice.
-constexpr std::size_t MaxOwnCounts = 12;
+constexpr std::size_t MaxOwnCounts = 8;
 // Likewise of a zone's sum for the other zones, and the time between two sums: the sum costs every member of the other
 // zone its whole size, and foreign replicas are only used when the own zone is full.
 constexpr std::size_t MaxZoneCounts = 48;
-constexpr Duration ZoneDemandInterval = seconds(5);
+constexpr Duration ZoneDemandInterval = seconds(10);
 // Crash suspects and leaving signals that one member publishes at a time.
 constexpr std::size_t MaxOwnSignals = 64;
 
@@ -31,6 +32,7 @@
 std::vector<KeyCount> toCounts(const std::map<std::uint32_t, std::uint32_t> &sums)
 {
     std::vector<KeyCount> counts;
+    counts.reserve(sums.size());
     for (const auto &[key, sum] : sums) {
         counts.push_back({key, static_cast<std::uint16_t>(std::min<std::uint32_t>(sum, std::numeric_limits<std::uint16_t>::max()))});
     }
@@ -75,12 +77,14 @@
 
 void MemberTable::publishDemand(TimePoint now)
 {
-    const auto members = static_cast<double>(list_.live(list_.self().zone).size());
-    const auto interval = std::max(options_.period, Duration(static_cast<std::int64_t>(members / options_.demandRecordsPerSecond * 1e6)));
-    if (now - demandPublishedAt_ < interval) {
+    if (now < nextDemandAt_) {
         return;
     }
-    demandPublishedAt_ = now;
+    const auto live = list_.live(list_.self().zone);
+    const auto interval =
+        std::max(options_.period, Duration(static_cast<std::int64_t>(static_cast<double>(live.size()) / options_.demandRecordsPerSecond * 1e6)));
+    // Half of the interval at random keeps members that started together from publishing together.
+    nextDemandAt_ = now + interval * 3 / 4 + Duration(static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(interval.count() / 2)));
     state_.setOwn(pendingDemand_, now, false);
     for (const auto &[vm, server] : pendingLoad_) {
         StateEntry entry;
@@ -90,6 +94,12 @@
         entry.server.queued = server.queued;
         entry.server.runningLong = server.runningLong;
         entry.server.tokensPerSecond = server.tokensPerSecond;
+        // The first of the two probers publishes the load.
+        const auto probers = probersOf(vm, live);
+        if (probers.empty() || probers.front() != list_.self().id) {
+            state_.removeOwn(EntryKind::Load, vm.str(), now);
+            continue;
+        }
         const bool isIdle = entry.server == ServerState{};
         if (!isIdle || state_.findOwn(EntryKind::Load, vm.str()) != nullptr) {
             state_.setOwn(std::move(entry), now, false);
@@ -261,14 +271,15 @@
         freshness.key = zone;
         freshness.number = static_cast<std::uint64_t>((now.time_since_epoch() - milliseconds(summary.ageMs)) / StampUnit);
         const auto *known = state_.findOwn(EntryKind::ZoneFreshness, zone);
-        // Half a period between two entries; a bridge also hears from the other zone's bridges.
-        const auto step = static_cast<std::uint64_t>(options_.period / 2 / StampUnit);
+        // One entry a period at most; a bridge also hears from the other zone's bridges.
+        const auto step = static_cast<std::uint64_t>(options_.period * 9 / 10 / StampUnit);
         if (known == nullptr || known->number + step < freshness.number) {
             state_.setOwn(std::move(freshness), now, false);
         }
     }
     auto &publishedAt = zoneDemandAt_[message.sender.zone];
-    if (now - publishedAt < ZoneDemandInterval) {
+    const auto bridges = bridgesOf(list_.self().zone, message.sender.zone, list_.live(list_.self().zone));
+    if (now - publishedAt < ZoneDemandInterval || bridges.front() != list_.self().id) {
         return;
     }
     publishedAt = now;
