--- a/src/cli/command_support.cpp
+++ b/src/cli/command_support.cpp
@@ -36,7 +36,10 @@
         ->type_name("ADDRESS:PORT")
         ->check(CLI::Validator(checkAddress, ""))
         ->envname("CARAWAYPOINT_DAEMONS");
-    command.add_option("--timeout", options.timeoutSeconds, "Seconds to wait for an answer")->check(CLI::Range(0.1, 600.0))->capture_default_str();
+    command.add_option("--timeout", options.timeoutSeconds, "Seconds to wait for an answer")
+        ->type_name("SECONDS")
+        ->check(CLI::Range(0.1, 600.0).description(""))
+        ->capture_default_str();
     command.add_flag("--json", options.isJson, "Write JSON, for scripts");
 }
 
--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -257,9 +257,11 @@
                     "Exit codes: 0 in force at every known daemon, 1 the files have faults, 2 wrong usage, 3 no daemon reachable or outcome unknown,\n"
                     "4 conflict with another operator, 5 accepted but not in force everywhere in time.");
     addFileOptions(*command, *files);
-    command->add_option("--expected-generation", options->expectedGeneration, "Generation that your files are based on, instead of the remembered one");
+    command->add_option("--expected-generation", options->expectedGeneration, "Generation that your files are based on, instead of the remembered one")
+        ->type_name("NUMBER");
     command->add_option("--wait", options->waitSeconds, "Seconds to wait until it is in force everywhere; 0 to return at once")
-        ->check(CLI::Range(0.0, 3600.0))
+        ->type_name("SECONDS")
+        ->check(CLI::Range(0.0, 3600.0).description(""))
         ->capture_default_str();
     command->add_flag("--dry-run", options->isDryRun, "Show what would change and apply nothing");
     command->add_flag("--lines", options->hasLines, "Show changed lines too");
