--- a/src/cli/config_apply.cpp
+++ b/src/cli/config_apply.cpp
@@ -174,7 +174,7 @@
         for (const auto &member : members) {
             const auto text = memberText(member, "generation");
             const auto state = memberText(member, "state");
-            if (state == "dead" || (!text.empty() && std::stoull(text) >= generation)) {
+            if (state == "dead" || state == "left" || (!text.empty() && std::stoull(text) >= generation)) {
                 continue;
             }
             waiting += (waiting.empty() ? "" : ", ") + memberText(member, "id") + " (generation " + (text.empty() ? "unknown" : text) + ")";
