--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -32,17 +32,6 @@
     return error ? json::value() : value;
 }
 
-/// Answers with the faults of a configuration, one text each.
-AdminResponse faultsResponse(const LoadedConfig &loaded)
-{
-    json::array faults;
-    for (const auto &fault : loaded.faults) {
-        faults.emplace_back(fault.toString());
-    }
-    const ResultCode code = loaded.isTooLarge ? ResultCode::ConfigTooLarge : ResultCode::ConfigInvalid;
-    return makeAdminError(code, "nothing was applied", "\"faults\":" + json::serialize(faults));
-}
-
 /// Handles `POST /admin/config`.
 class ConfigProposal
 {
@@ -73,7 +62,7 @@
         const auto sizes = domainSizes(plane_.vms());
         const LoadedConfig loaded = loadConfig(*parsed, sizes);
         if (!loaded.faults.empty()) {
-            respond(faultsResponse(loaded));
+            respond(makeFaultsResponse(loaded));
             return;
         }
         if (const std::string zone = plane_.findZoneWithoutSite(loaded); !zone.empty()) {
@@ -149,11 +138,7 @@
     server.handle("GET", "/admin/alarms", [&plane, &clock](const AdminRequest &, const AdminServer::Responder &respond) {
         respond(makeBody(alarmsBody(plane.alarms().active(), plane.alarms().recent(), {clock.now(), std::chrono::system_clock::now()})));
     });
-    server.handle("GET", "/metrics", [](const AdminRequest &, const AdminServer::Responder &respond) {
-        AdminResponse response = makeBody(metricsRegistry().serialize());
-        response.contentType = "text/plain; version=0.0.4";
-        respond(std::move(response));
-    });
+    addMetricsHandler(server, metricsRegistry());
 }
 
 }
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -121,6 +121,8 @@
     void publishCrashSuspects();
     void exchangeClaimState();
     void updateAlarms(TimePoint now);
+    /// All daemons of a zone see the same conditions; one of them reports each, so that one cause rings once.
+    bool isReporterOf(const Alarm &alarm, TimePoint now);
     void updateMetrics();
     /// A server leaves: routers stop at once, and the holder of its domain's lease drains it.
     void noteLeaving(const VmId &vm);
--- a/src/daemon/control_plane_views.cpp
+++ b/src/daemon/control_plane_views.cpp
@@ -3,6 +3,7 @@
 #include "daemon/admin_bodies.h"
 #include "daemon/control_plane.h"
 #include "daemon/fact_collector.h"
+#include "membership/roles.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 
@@ -82,16 +83,26 @@
     inputs.isPlatformReachable = isPlatformReachable_;
     inputs.observationBound = inputs.config == nullptr ? RoutingPolicy().observationBound : inputs.config->routing.observationBound;
     const AlarmBook::Changes changes = alarms_.update(collectFacts(inputs, now));
-    // All daemons of a zone see the same conditions; one of them reports, so that one cause rings once.
-    if (!membership_.table().isOldestInZone(now)) {
-        return;
-    }
     for (const auto &alarm : changes.raised) {
-        logDecision("alarm", alarm.condition.subject, "raised " + alarm.condition.cause(), alarm.condition.detail);
+        if (isReporterOf(alarm, now)) {
+            logDecision("alarm", alarm.condition.subject, "raised " + alarm.condition.cause(), alarm.condition.detail);
+        }
     }
     for (const auto &alarm : changes.cleared) {
-        logDecision("alarm", alarm.condition.subject, "cleared " + alarm.condition.cause(), "the condition is gone");
+        if (isReporterOf(alarm, now)) {
+            logDecision("alarm", alarm.condition.subject, "cleared " + alarm.condition.cause(), "the condition is gone");
+        }
+    }
+}
+
+bool ControlPlane::isReporterOf(const Alarm &alarm, TimePoint now)
+{
+    if (!alarmKindInfo(alarm.condition.kind).isFleetWide) {
+        return membership_.table().isOldestInZone(now);
     }
+    std::vector<MemberRecord> live = members();
+    std::erase_if(live, [](const MemberRecord &member) { return !isLiveStatus(member.status); });
+    return oldestMember(live) == settings_.id;
 }
 
 void ControlPlane::updateMetrics()
--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -33,11 +33,9 @@
 constexpr unsigned PeerPort = 18003;
 constexpr unsigned FirstEnginePort = 18100;
 
-// Test programs that run at the same time get different loopback networks.
-unsigned octetOfThisProcess()
-{
-    return 20 + static_cast<unsigned>(getpid()) % 200;
-}
+// Test programs that run at the same time get different loopback networks, by their process id.
+constexpr unsigned FirstOctet = 20;
+constexpr unsigned OctetCount = 200;
 
 }
 
@@ -56,7 +54,8 @@
 TestCluster::TestCluster(const Options &options)
     : options_(options)
     , build_(std::getenv("CARAWAYPOINT_BUILD") == nullptr ? "build" : std::getenv("CARAWAYPOINT_BUILD"))
-    , octet_(octetOfThisProcess())
+    , octet_(FirstOctet + static_cast<unsigned>(getpid()) % OctetCount)
+    , zoneOctetBase_(4 * (static_cast<unsigned>(getpid()) / OctetCount % 60))
 {
     std::string name = (std::filesystem::temp_directory_path() / "carawaypoint-test-XXXXXX").string();
     directory_ = mkdtemp(name.data());
@@ -85,7 +84,7 @@
 
 Endpoint TestCluster::at(unsigned zone, unsigned host, unsigned port) const
 {
-    return {"127." + std::to_string(octet_) + "." + std::to_string(zone) + "." + std::to_string(host), static_cast<std::uint16_t>(port)};
+    return {"127." + std::to_string(octet_) + "." + std::to_string(zoneOctetBase_ + zone) + "." + std::to_string(host), static_cast<std::uint16_t>(port)};
 }
 
 Endpoint TestCluster::entry(unsigned daemon) const
--- a/tests/daemon/test_cluster.h
+++ b/tests/daemon/test_cluster.h
@@ -99,7 +99,8 @@
     Options options_;
     std::string build_;
     std::string directory_;
-    unsigned octet_;
+    unsigned octet_; // second one of the addresses
+    unsigned zoneOctetBase_; // the third octet is this plus the zone
     std::vector<pid_t> standins_;
     std::map<unsigned, pid_t> daemons_;
 };
