--- a/tests/protocol/membership_agent_test.cpp
+++ b/tests/protocol/membership_agent_test.cpp
@@ -77,6 +77,10 @@
         {
             agent->onSignals(std::move(signals));
         }
+        SharedAssignment onFetchAssignment(const std::vector<RecordStamp> &known) override
+        {
+            return agent->onFetchAssignment(known);
+        }
         MembershipAgent *agent = nullptr;
     };
 
