--- a/src/daemon/fact_collector.cpp
+++ b/src/daemon/fact_collector.cpp
@@ -65,6 +65,7 @@
         const auto expected = std::max<std::uint32_t>(1, replica.expectedMembers);
         entry.repairProgress = static_cast<double>(loaded) / expected;
         entry.isServing = loaded >= expected;
+        entry.isPlannedStop = replica.isDraining;
         facts.replicas.push_back(std::move(entry));
     }
 }
