Revert "Try to lift the cap for long work that waited for 60 s"

Conclusion: at 85% load long work needs nearly all slots that the cap leaves it, so that a lifted cap is soon lifted for good and short work waits again.

--- a/src/routing/local_dispatcher.cpp
+++ b/src/routing/local_dispatcher.cpp
@@ -13,8 +13,6 @@
 // A stream that breaks after its first token has no first-token deadline any more; it may wait this long to go on.
 constexpr Duration ResumeWait = seconds(2);
 constexpr Duration DefaultRetryAfter = seconds(1);
-// Long work that waited this long is not held back by the cap any more, so that none starves while short work is plentiful.
-constexpr Duration LongCapWait = seconds(60);
 // Part of a replica's slots that customers above their share leave free for the others.
 constexpr double OverShareHeadroom = 1.0 / 5;
 }
@@ -443,7 +441,7 @@
     return {.keepFree = isWithinShare ? 0 : OverShareHeadroom,
             .claimShare = accounts.claimShare(),
             .isElastic = !isWithinShare || (hasQueue && record.isLong),
-            .capsLongWork = queue.mayPassOver() && clock_.now() - record.submittedAt < LongCapWait};
+            .capsLongWork = queue.mayPassOver()};
 }
 
 Refusal LocalDispatcher::waitingRefusal(const RequestRecord &record)
