Test that old stamps are not passed on

Cause: with the age limit of stamps removed no test failed. Change: SharedState.leavesOutOldStamps. Ruled out: testing it over the fleet only, since the fleet's tests never hold a stamp that long.

--- a/tests/membership/shared_state_test.cpp
+++ b/tests/membership/shared_state_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace carawaypoint
 {
 
@@ -69,4 +71,26 @@
     EXPECT_EQ(state.observations(now).size(), 10U);
 }
 
+// Guards against a stamp that a member kept while it was cut off: after half of the wrap of 655 s it would look new.
+TEST(SharedState, leavesOutOldStamps)
+{
+    const MemberRecord owner{MemberId("o"), ZoneId("z"), {"a", 1}, 1};
+    TimePoint now{hours(1)};
+    SharedState source(owner, now);
+    SharedState state({MemberId("r"), ZoneId("z"), {"b", 1}, 1}, now);
+    state.addOwner(owner);
+    for (int i = 0; i < 3; ++i) {
+        now += seconds(1);
+        source.markOwnSeen(now);
+        state.apply({{source.zoneStamps(now).at(0).owner, 0, 0, 1, {}}}, source.zoneStamps(now), now);
+    }
+    const auto stampOfOwner = [&] {
+        const auto stamps = state.zoneStamps(now);
+        return *std::find_if(stamps.begin(), stamps.end(), [&](const auto &stamp) { return stamp.owner == source.zoneStamps(now).at(0).owner; });
+    };
+    EXPECT_TRUE(stampOfOwner().hasStamp);
+    now += MaxStampAge + seconds(1);
+    EXPECT_FALSE(stampOfOwner().hasStamp);
+}
+
 }
