Say not-run for a keyed call only while its claim is held

Closing a claim now tells whether a peer took it over meanwhile. Before, a call whose servers all refused was told not-run although another entry could run it under the same key.

--- a/src/cli/subcommands.cpp
+++ b/src/cli/subcommands.cpp
@@ -11,13 +11,8 @@
 {
 
 constexpr Subcommand Subcommands[] = {
-    {"serve", declareServe},
-    {"config", declareConfig},
-    {"status", declareStatus},
-    {"alarms", declareAlarms},
-    {"explain", declareExplain},
-    {"drain", declareDrain},
-    {"load", declareLoad},
+    {"serve", declareServe},     {"config", declareConfig}, {"status", declareStatus}, {"alarms", declareAlarms},
+    {"explain", declareExplain}, {"drain", declareDrain},   {"load", declareLoad},
 };
 
 }
--- a/src/idempotency/claim_outcomes.cpp
+++ b/src/idempotency/claim_outcomes.cpp
@@ -76,7 +76,7 @@
     }
 }
 
-void ClaimStore::close(const std::string &token, std::function<void()> done)
+void ClaimStore::close(const std::string &token, std::function<void(bool isNotRun)> done)
 {
     const auto found = claims_.find(token);
     if (found == claims_.end() || !found->second.machine.apply(ClaimEvent::Close)) {
@@ -84,10 +84,12 @@
         if (found != claims_.end() && found->second.machine.state() == ClaimState::Relinquished) {
             claims_.erase(found);
         }
-        done();
+        done(false);
         return;
     }
-    found->second.done = std::move(done);
+    found->second.done = [done = std::move(done)] {
+        done(true);
+    };
     record(token);
 }
 
--- a/src/idempotency/claim_store.h
+++ b/src/idempotency/claim_store.h
@@ -78,9 +78,10 @@
     /// Records the outcome in the background, for as long as it takes.
     void complete(const std::string &token, RecordedAnswer answer);
     void loseAnswer(const std::string &token);
-    /// Closes a claim whose call is not sent. @p done is called when that is recorded or could not be recorded now; the
-    /// call is not sent in either case.
-    void close(const std::string &token, std::function<void()> done);
+    /// Closes a claim whose call is not sent by this daemon. @p done is told whether the call was not run and will not be under
+    /// this claim: true when the claim was still held, whether or not that could be recorded now; false when a peer took it
+    /// over and may run the call.
+    void close(const std::string &token, std::function<void(bool isNotRun)> done);
 
     /// A peer asks for a claim that this daemon's process @p process created.
     RelinquishResult relinquish(const ClaimReference &claim);
--- a/src/serving/claim_port.cpp
+++ b/src/serving/claim_port.cpp
@@ -61,11 +61,11 @@
     co_return (co_await mailbox->wait(loop)).value_or(false);
 }
 
-asio::awaitable<void> ClaimPort::close(TrafficLoop &loop, std::string token)
+asio::awaitable<bool> ClaimPort::close(TrafficLoop &loop, std::string token)
 {
     const auto mailbox = std::make_shared<Mailbox<bool>>(loop);
-    post([mailbox, token = std::move(token)](ClaimStore &store) { store.close(token, [mailbox] { mailbox->deliver(true); }); });
-    co_await mailbox->wait(loop);
+    post([mailbox, token = std::move(token)](ClaimStore &store) { store.close(token, [mailbox](bool isNotRun) { mailbox->deliver(isNotRun); }); });
+    co_return (co_await mailbox->wait(loop)).value_or(false);
 }
 
 void ClaimPort::refuse(const std::string &token)
--- a/src/serving/claim_port.h
+++ b/src/serving/claim_port.h
@@ -22,7 +22,7 @@
 
     asio::awaitable<ClaimBegin> begin(TrafficLoop &loop, ClaimCall call);
     asio::awaitable<bool> dispatch(TrafficLoop &loop, std::string token);
-    asio::awaitable<void> close(TrafficLoop &loop, std::string token);
+    asio::awaitable<bool> close(TrafficLoop &loop, std::string token);
     void refuse(const std::string &token);
     void complete(const std::string &token, RecordedAnswer answer);
     void loseAnswer(const std::string &token);
--- a/src/serving/service_call.cpp
+++ b/src/serving/service_call.cpp
@@ -178,9 +178,10 @@
         co_return fail(ResultCode::OutcomeUnknown, RunState::Unknown,
                        answer.end == End::TimedOut ? "the server did not answer in time" : "the connection broke");
     }
-    co_await shared_.claims.close(loop_, token);
     // Without the claim, another entry may be running the call under the same key.
-    const auto state = code == ResultCode::ClaimUnavailable ? RunState::Unknown : RunState::NotRun;
+    const bool isNotRun = co_await shared_.claims.close(loop_, token);
+    code = isNotRun ? code : ResultCode::ClaimUnavailable;
+    const auto state = isNotRun ? RunState::NotRun : RunState::Unknown;
     co_return fail(code, state, "the call was not sent, or every server refused it before running", AskAgain);
 }
 
--- a/tests/idempotency/claim_simulation_test.cpp
+++ b/tests/idempotency/claim_simulation_test.cpp
@@ -135,7 +135,9 @@
     void dispatch(Daemon &daemon, Call &call, const std::string &token, const Answer &answer)
     {
         if (chance(5) || !daemon.claims->dispatch(token)) {
-            daemon.claims->close(token, [answer] { answer(ResultCode::ClaimUnavailable, RunState::NotRun); });
+            daemon.claims->close(token, [answer](bool isNotRun) {
+                answer(isNotRun ? ResultCode::NoServerAvailable : ResultCode::ClaimUnavailable, isNotRun ? RunState::NotRun : RunState::Unknown);
+            });
             return;
         }
         const auto fate = random() % 100;
--- a/tests/idempotency/claim_store_test.cpp
+++ b/tests/idempotency/claim_store_test.cpp
@@ -196,7 +196,7 @@
     for (int i = 0; i < Count; ++i) {
         key_ = makeKey(time_.wallTime(), static_cast<unsigned>(i));
         claims_->dispatch(begin(*claims_).token);
-        claims_->close(begin(*claims_).token, [] {});
+        claims_->close(begin(*claims_).token, [](bool) {});
     }
     const auto other = makeStore({MemberId("d2"), 1});
     time_.clock.advance(hours(24));
