--- a/src/daemon/config_in_force.cpp
+++ b/src/daemon/config_in_force.cpp
@@ -56,6 +56,7 @@
         }
     }
     std::vector<DomainSize> sizes;
+    sizes.reserve(counts.size());
     for (const auto &[key, count] : counts) {
         sizes.push_back({std::get<0>(key), std::get<2>(key), count});
     }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -376,6 +376,7 @@
 {
     const auto toCounts = [](const auto &values) {
         std::vector<KeyCount> counts;
+        counts.reserve(values.size());
         for (const auto &[id, count] : values) {
             counts.push_back({keyHash(id.str()), static_cast<std::uint16_t>(std::min<double>(static_cast<double>(count), 65'535))});
         }
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -38,7 +38,7 @@
     return true;
 }
 
-PlatformStandin::PlatformStandin(asio::any_io_executor executor, const std::vector<asio::ip::tcp::endpoint> &endpoints)
+PlatformStandin::PlatformStandin(const asio::any_io_executor &executor, const std::vector<asio::ip::tcp::endpoint> &endpoints)
 {
     for (const auto &endpoint : endpoints) {
         const std::string name = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -23,7 +23,7 @@
 class PlatformStandin
 {
 public:
-    PlatformStandin(boost::asio::any_io_executor executor, const std::vector<boost::asio::ip::tcp::endpoint> &endpoints);
+    PlatformStandin(const boost::asio::any_io_executor &executor, const std::vector<boost::asio::ip::tcp::endpoint> &endpoints);
 
     void start();
 
--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -140,6 +140,7 @@
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
--- a/tests/protocol/membership_agent_test.cpp
+++ b/tests/protocol/membership_agent_test.cpp
@@ -24,7 +24,7 @@
         options.table.pausePeriods = 25;
         options.self.id = MemberId("d" + std::to_string(index));
         options.self.zone = ZoneId("z" + std::to_string(index / 3));
-        options.self.process = static_cast<std::uint64_t>(100 + index);
+        options.self.process = 100 + static_cast<std::uint64_t>(index);
         options.seedInterval = milliseconds(300);
         options.randomSeed = static_cast<std::uint64_t>(index);
         // The address is known only after the service listens, so a service on the port is started first.
