--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -167,6 +167,7 @@
     std::map<VmId, TimePoint> leavingUntil_;
     std::uint64_t peerTurn_ = 0; // which peer is asked for the assignment next
     std::uint64_t crashCount_ = 0; // crash suspects reported by this process
+    PeerServiceCounters countedPeerBytes_; // as last added to the metrics
     std::uint64_t pauseCount_ = 0;
     bool isPlatformReachable_ = false;
     TimePoint lastTick_{};
--- a/src/daemon/control_plane_views.cpp
+++ b/src/daemon/control_plane_views.cpp
@@ -125,6 +125,10 @@
     }
     metrics.set(GaugeMetric::Members, "live", live);
     metrics.set(GaugeMetric::ConfigGeneration, {}, static_cast<double>(present.generation));
+    const PeerServiceCounters counters = peers_.counters();
+    metrics.count(CounterMetric::PeerBytes, "in", static_cast<double>(counters.bytesReceived - countedPeerBytes_.bytesReceived));
+    metrics.count(CounterMetric::PeerBytes, "out", static_cast<double>(counters.bytesSent - countedPeerBytes_.bytesSent));
+    countedPeerBytes_ = counters;
     metrics.set(GaugeMetric::ActiveAlarms, {}, static_cast<double>(alarms_.active().size()));
 }
 
