Connect the settings that had no effect and drop three that nothing reads

customer models and service timeouts were checked and shown but not used; they are enforced now. spares_per_domain, defragment and max_queued_requests were read by nothing and are gone: a key that pretends is worse than one that is missing.

--- a/src/config/config_loader.cpp
+++ b/src/config/config_loader.cpp
@@ -58,8 +58,6 @@
 RepairSettings makeRepair(const SectionValues &values)
 {
     return {.strategy = values.at("strategy").canonical,
-            .sparesPerDomain = toCount(values.at("spares_per_domain")),
-            .mayDefragment = values.at("defragment").flag,
             .leaseTime = values.at("lease_time").time,
             .leaseRenewal = values.at("lease_renewal").time,
             .orderLifetime = values.at("order_lifetime").time};
@@ -81,7 +79,6 @@
 {
     return {.maxBodyBytes = static_cast<std::uint64_t>(values.at("max_body_bytes").number),
             .maxConnections = toCount(values.at("max_connections")),
-            .maxQueuedRequests = toCount(values.at("max_queued_requests")),
             .tokenTimeout = values.at("token_timeout").time,
             .claimRetention = values.at("claim_retention").time,
             .drainTime = values.at("drain_time").time};
--- a/src/config/effective_config.h
+++ b/src/config/effective_config.h
@@ -52,8 +52,6 @@
 
 struct RepairSettings {
     std::string strategy; // nearest_whole or first_fit
-    std::uint32_t sparesPerDomain = 0; // VMs kept out of replicas in addition to left-over VMs
-    bool mayDefragment = false;
     Duration leaseTime{};
     Duration leaseRenewal{};
     Duration orderLifetime{}; // after which an order can no longer arrive
@@ -74,7 +72,6 @@
 struct LimitSettings {
     std::uint64_t maxBodyBytes = 0;
     std::uint32_t maxConnections = 0;
-    std::uint32_t maxQueuedRequests = 0;
     Duration tokenTimeout{}; // between two tokens of a stream
     Duration claimRetention{};
     Duration drainTime{}; // after which a planned stop cuts streams
--- a/src/core/routing_snapshot.h
+++ b/src/core/routing_snapshot.h
@@ -59,12 +59,14 @@
 struct ServiceView {
     ServiceId id;
     bool isRepeatable = false; // whether a call may be sent twice
+    Duration timeout{}; // for the whole answer; 0: the front end's limit
     std::vector<ServiceServerView> servers;
 };
 
 struct CustomerView {
     CustomerId id;
     double weight = 1; // share relative to the other customers
+    std::vector<ModelId> models; // that it may use; empty: all
     double globalDemand = 0; // slots wanted at all daemons, from exchanges
     double allowance = 0; // slots that this daemon may use for the customer; 0 when no exchange has set it
 };
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -114,6 +114,7 @@
     membership_.start(peers_);
     controller_->start(AssignmentTick);
     lastTick_ = clock_.now();
+    lastSweep_ = lastTick_;
     fetchVmList();
     controlTick();
     slowTick();
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -171,6 +171,7 @@
     std::uint64_t pauseCount_ = 0;
     bool isPlatformReachable_ = false;
     TimePoint lastTick_{};
+    TimePoint lastSweep_{};
     std::atomic<bool> isReady_ = false;
     mutable std::mutex snapshotMutex_;
     RoutingSnapshotPtr snapshot_;
--- a/src/daemon/control_plane_peers.cpp
+++ b/src/daemon/control_plane_peers.cpp
@@ -18,6 +18,7 @@
 
 constexpr Duration UnseenAfter = milliseconds(2500); // two probes without an answer
 constexpr Duration LeavingMemory = minutes(1); // the platform's list shows a leaving VM by then
+constexpr Duration SweepPeriod = hours(1);
 constexpr std::size_t MaxSignalsPerCall = 64; // bound of the inner protocol
 
 }
@@ -111,6 +112,12 @@
 {
     const std::uint64_t revision = membership_.table().highestPlatformRevision();
     hooks_.withClaims([revision](ClaimStore &claims) { claims.observeRevision(revision); });
+    // Only a sweep finds the claims of daemons that have ended. It lists all claims, so that one daemon of a zone does it.
+    const TimePoint now = clock_.now();
+    if (now - lastSweep_ >= SweepPeriod && membership_.table().isOldestInZone(now)) {
+        lastSweep_ = now;
+        hooks_.withClaims([](ClaimStore &claims) { claims.sweep(); });
+    }
 }
 
 void ControlPlane::handlePeerSignal(const PeerSignal &signal)
--- a/src/daemon/snapshot_builder.cpp
+++ b/src/daemon/snapshot_builder.cpp
@@ -32,6 +32,7 @@
         CustomerView view;
         view.id = customer.id;
         view.weight = customer.share;
+        view.models = customer.models;
         view.globalDemand = inputs.peerDemand ? inputs.peerDemand(customer.id) : 0;
         views.push_back(std::move(view));
     }
@@ -45,6 +46,7 @@
         ServiceView view;
         view.id = service.id;
         view.isRepeatable = service.isRepeatable;
+        view.timeout = service.timeout;
         for (const auto &vm : inputs.vms) {
             if (vm.pool == service.pool) {
                 view.servers.push_back({vm.id, vm.address, vm.zone, now, vm.isLeaving || inputs.leavingVms.contains(vm.id)});
--- a/src/serving/chat_request.cpp
+++ b/src/serving/chat_request.cpp
@@ -78,7 +78,8 @@
     ChatCheck check;
     auto &routing = check.request.routing;
     routing.customer = CustomerId(std::string(input.customer));
-    if (findById(snapshot.customers, routing.customer) == snapshot.customers.end()) {
+    const auto customer = findById(snapshot.customers, routing.customer);
+    if (customer == snapshot.customers.end()) {
         return refusal(ResultCode::UnknownCustomer, "X-Customer is missing or not a declared customer");
     }
 
@@ -97,6 +98,9 @@
     if (declared == snapshot.models.end()) {
         return refusal(ResultCode::UnknownModel, "model is not declared: " + routing.model.str());
     }
+    if (!customer->models.empty() && std::find(customer->models.begin(), customer->models.end(), routing.model) == customer->models.end()) {
+        return refusal(ResultCode::UnknownModel, "the customer may not use the model " + routing.model.str());
+    }
     if (const auto *adapter = object->if_contains("adapter"); adapter != nullptr && !adapter->is_null()) {
         if (!adapter->is_string()) {
             return refusal(ResultCode::MalformedRequest, "adapter is not a string");
--- a/src/serving/service_exchange.cpp
+++ b/src/serving/service_exchange.cpp
@@ -71,7 +71,7 @@
     Parser parser;
     parser.body_limit(loop.context.settings.maxAnswerBytes);
     parser.skip(request.method == "HEAD");
-    connection.limit(loop.context.settings.serviceTimeout);
+    connection.limit(request.timeout > Duration::zero() ? request.timeout : loop.context.settings.serviceTimeout);
     auto [error, size] = co_await http::async_write(connection.socket(), message, UseResult);
     if (!error) {
         std::tie(error, size) = co_await http::async_read(connection.socket(), connection.buffer(), parser, UseResult);
--- a/src/serving/service_exchange.h
+++ b/src/serving/service_exchange.h
@@ -21,6 +21,7 @@
     std::string target; // at the server, with query
     HeaderList headers; // end-to-end headers
     std::string body;
+    Duration timeout{}; // for the whole answer; 0: the front end's limit
 };
 
 /// How a plain service's server answered.
--- a/tests/serving/front_end_fixture.cpp
+++ b/tests/serving/front_end_fixture.cpp
@@ -98,6 +98,9 @@
     settings_.drainNotice = milliseconds(1);
     snapshot_.generation = 1;
     snapshot_.customers.push_back({CustomerId("c")});
+    CustomerView restricted{CustomerId("other-models-only")};
+    restricted.models = {ModelId("x")};
+    snapshot_.customers.push_back(restricted);
     ModelView model;
     model.id = ModelId("m");
     model.adapters = {"a"};
--- a/tests/serving/front_end_test.cpp
+++ b/tests/serving/front_end_test.cpp
@@ -91,6 +91,7 @@
         {post(R"({"model":"m",)" + messages + "}", "X-Customer: c\r\nX-Deadline-Ms: 0\r\n"), "200 malformed_request", 400},
         {post(R"({"model":"m",)" + messages + "}", "X-Customer: c\r\nX-Deadline-Ms: 1s\r\n"), "200 malformed_request", 400},
         {post(R"({"model":"x",)" + messages + "}"), "203 unknown_model", 404},
+        {post(R"({"model":"m",)" + messages + "}", "X-Customer: other-models-only\r\n"), "203 unknown_model", 404},
         {post(R"({"model":"m","adapter":"b",)" + messages + "}"), "207 unknown_adapter", 404},
         {post(R"({"model":"m",)" + messages + "}", ""), "204 unknown_customer", 401},
         {post(R"({"model":"m",)" + messages + "}", "X-Customer: d\r\n"), "204 unknown_customer", 401},
