Use the shared pieces for proposals, member freshness and claims

Found on reading the whole change once more: - POST /admin/config parsed its body and built the conflict by hand beside parseVersionedConfig and makeConflictResponse. The hand-made conflict lacked the member 'error' that docs/interfaces.md states, and was no JSON when no configuration was in force. - Whether a member was seen within the observation bound was written three times; the router's rule in routing/eligibility.h serves all. - HttpFrontEnd::relinquishClaim was called by nothing; the control plane asks the claim store through withClaims.

--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -32,69 +32,42 @@
     return error ? json::value() : value;
 }
 
-/// Handles `POST /admin/config`.
-class ConfigProposal
+/// Answers with the outcome of a proposal.
+void respondToProposal(const AdminServer::Responder &respond, std::error_code error, const ConfigurationText &present)
 {
-public:
-    ConfigProposal(ControlPlane &plane, const AdminRequest &request)
-        : plane_(plane)
-        , body_(parseBody(request.body))
-    {
+    if (!error) {
+        respond(makeBody("{\"generation\":" + std::to_string(present.generation) + "}"));
+        return;
     }
-
-    void run(const AdminServer::Responder &respond)
-    {
-        const auto *object = body_.if_object();
-        const auto *documents = object == nullptr ? nullptr : object->if_contains("documents");
-        const auto *expected = object == nullptr ? nullptr : object->if_contains("expected_generation");
-        boost::system::error_code error;
-        const auto generation = expected == nullptr ? 0 : expected->to_number<std::uint64_t>(error);
-        if (documents == nullptr || expected == nullptr || error) {
-            respond(makeAdminError(ResultCode::ConfigInvalid, "expected an object with documents and expected_generation"));
-            return;
-        }
-        std::string fault;
-        const auto parsed = parseConfigDocuments(json::serialize(*documents), fault);
-        if (!parsed) {
-            respond(makeAdminError(ResultCode::ConfigInvalid, fault));
-            return;
-        }
-        const auto sizes = domainSizes(plane_.vms());
-        const LoadedConfig loaded = loadConfig(*parsed, sizes);
-        if (!loaded.faults.empty()) {
-            respond(makeFaultsResponse(loaded));
-            return;
-        }
-        if (const std::string zone = plane_.findZoneWithoutSite(loaded); !zone.empty()) {
-            respond(makeAdminError(ResultCode::ConfigInvalid, "zone " + zone + " has daemons but no site; expected a site with this zone"));
-            return;
-        }
-        propose(*parsed, generation, respond);
+    if (error == ResultCode::ConfigConflict) {
+        std::string ignored; // without a configuration in force there are no documents to read
+        respond(makeConflictResponse({present.generation, parseConfigDocuments(present.text, ignored).value_or(ConfigDocuments{})}));
+        return;
     }
+    const auto code = error.category() == resultCategory() ? static_cast<ResultCode>(error.value()) : ResultCode::Internal;
+    respond(makeAdminError(code, "the configuration was not accepted as far as known"));
+}
 
-private:
-    void propose(const ConfigDocuments &documents, std::uint64_t expected, const AdminServer::Responder &respond)
-    {
-        plane_.configuration().propose(toJson(documents), expected, [respond](std::error_code error, const ConfigurationText &present) {
-            if (!error) {
-                respond(makeBody("{\"generation\":" + std::to_string(present.generation) + "}"));
-                return;
-            }
-            if (error != ResultCode::ConfigConflict) {
-                const auto code = error.category() == resultCategory() ? static_cast<ResultCode>(error.value()) : ResultCode::Internal;
-                respond(makeAdminError(code, "the configuration was not accepted as far as known"));
-                return;
-            }
-            AdminResponse conflict = makeBody(configBody(present));
-            conflict.code = ResultCode::ConfigConflict;
-            conflict.status = resultCodeInfo(ResultCode::ConfigConflict).httpStatus;
-            respond(std::move(conflict));
-        });
+void proposeConfig(ControlPlane &plane, const AdminRequest &request, const AdminServer::Responder &respond)
+{
+    std::string fault;
+    const auto proposal = parseVersionedConfig(request.body, fault, "expected_generation");
+    if (!proposal) {
+        respond(makeAdminError(ResultCode::ConfigInvalid, fault));
+        return;
     }
-
-    ControlPlane &plane_;
-    json::value body_;
-};
+    const LoadedConfig loaded = loadConfig(proposal->documents, domainSizes(plane.vms()));
+    if (!loaded.faults.empty()) {
+        respond(makeFaultsResponse(loaded));
+        return;
+    }
+    if (const std::string zone = plane.findZoneWithoutSite(loaded); !zone.empty()) {
+        respond(makeAdminError(ResultCode::ConfigInvalid, "zone " + zone + " has daemons but no site; expected a site with this zone"));
+        return;
+    }
+    plane.configuration().propose(toJson(proposal->documents), proposal->generation,
+                                  [respond](std::error_code error, const ConfigurationText &present) { respondToProposal(respond, error, present); });
+}
 
 void addConfigHandlers(AdminServer &server, ControlPlane &plane)
 {
@@ -103,7 +76,7 @@
         respond(tracker.isReady() ? makeBody(configBody(tracker.inForce())) : makeAdminError(ResultCode::ConfigMissing, "no configuration is in force"));
     });
     server.handle("POST", "/admin/config",
-                  [&plane](const AdminRequest &request, const AdminServer::Responder &respond) { ConfigProposal(plane, request).run(respond); });
+                  [&plane](const AdminRequest &request, const AdminServer::Responder &respond) { proposeConfig(plane, request, respond); });
     server.handle("GET", "/admin/config/status", [&plane](const AdminRequest &, const AdminServer::Responder &respond) {
         respond(makeBody(configStatusBody(plane.configuration().tracker().generation(), plane.memberGenerations())));
     });
--- a/src/daemon/fact_collector.cpp
+++ b/src/daemon/fact_collector.cpp
@@ -1,5 +1,7 @@
 #include "daemon/fact_collector.h"
 
+#include "routing/eligibility.h"
+
 #include <algorithm>
 #include <map>
 
@@ -9,11 +11,6 @@
 namespace
 {
 
-bool isSeen(const ReplicaMemberView &member, TimePoint now, Duration bound)
-{
-    return member.lastSeen != TimePoint{} && now - member.lastSeen <= bound;
-}
-
 std::map<VmId, const VmStatus *> assignedVms(const AssignmentStatus &assignment)
 {
     std::map<VmId, const VmStatus *> vms;
@@ -56,7 +53,7 @@
         entry.domain = replica.domain;
         std::uint32_t loaded = 0;
         for (const auto &member : replica.members) {
-            if (!isSeen(member, now, inputs.observationBound)) {
+            if (!isMemberSeen(member, now, inputs.observationBound)) {
                 entry.missingVms.push_back(member.vm);
             } else if (member.isLoaded) {
                 ++loaded;
--- a/src/daemon/status_bodies.cpp
+++ b/src/daemon/status_bodies.cpp
@@ -1,5 +1,7 @@
 #include "daemon/status_bodies.h"
 
+#include "routing/eligibility.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -59,8 +61,8 @@
     if (replica.members.size() < replica.expectedMembers) {
         return "incomplete";
     }
-    const bool isSeen = std::all_of(replica.members.begin(), replica.members.end(),
-                                    [&](const ReplicaMemberView &member) { return member.lastSeen != TimePoint{} && now - member.lastSeen <= bound; });
+    const bool isSeen =
+        std::all_of(replica.members.begin(), replica.members.end(), [&](const ReplicaMemberView &member) { return isMemberSeen(member, now, bound); });
     if (!isSeen) {
         return "incomplete";
     }
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -21,7 +21,7 @@
         if (!member.isLoaded) {
             return "member not loaded";
         }
-        if (now - member.lastSeen > observationBound) {
+        if (!isMemberSeen(member, now, observationBound)) {
             return "member not seen";
         }
     }
--- a/src/serving/http_front_end.cpp
+++ b/src/serving/http_front_end.cpp
@@ -220,15 +220,6 @@
     return impl_->context_.inProgress;
 }
 
-void HttpFrontEnd::relinquishClaim(ClaimReference claim, PeerClaims::Handler handler)
-{
-    if (!impl_->services_.claims.isUsed()) {
-        handler(RelinquishResult::Unreachable);
-        return;
-    }
-    withClaims([claim = std::move(claim), handler = std::move(handler)](ClaimStore &claims) { handler(claims.relinquish(claim)); });
-}
-
 void HttpFrontEnd::withClaims(std::function<void(ClaimStore &)> action)
 {
     impl_->services_.claims.post(std::move(action));
--- a/src/serving/http_front_end.h
+++ b/src/serving/http_front_end.h
@@ -61,11 +61,8 @@
     /// Requests that were received and not yet answered.
     std::uint64_t requestsInProgress() const;
 
-    /// A peer asks this daemon to give a claim up. Thread-safe; @p handler is called on the executor of claimObjects, or at
-    /// once with Unreachable when no claims are used.
-    void relinquishClaim(ClaimReference claim, PeerClaims::Handler handler);
-    /// Runs @p action with the claim store on its executor, for what peers and watches report: ClaimStore::observeRevision(),
-    /// noteRestore() and sweep(). Thread-safe; does nothing when no claims are used.
+    /// Runs @p action with the claim store on its executor, for what peers and watches ask and report: ClaimStore::relinquish(),
+    /// observeRevision(), noteRestore() and sweep(). Thread-safe; does nothing when no claims are used.
     void withClaims(std::function<void(ClaimStore &)> action);
 
     /// Ends the traffic threads and breaks what is still in progress. Not to be called on a traffic thread.
