Draw two replicas at random where counts of peers are old

A third of the requests waited for a slot although others were free. Ruled out: too few slots as the only cause (a simulation with 30% free slots shows 11% of the requests waiting with the random part, below 1% with the less loaded of two drawn at random). A replica is full for new requests at 1.05 a slot (1.15 before), and at 1.2 for callers that came back after a refusal.

--- a/src/gateway/backend_book.cpp
+++ b/src/gateway/backend_book.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backend_book.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace carawaypoint
@@ -177,49 +178,68 @@
     return tokens / target.readTokensPerSecond;
 }
 
+bool BackendBook::isStalled(const VmId &server) const
+{
+    const auto own = backends_.find(server);
+    const auto peers = peerSums_.find(server);
+    return (own != backends_.end() && own->second.isStalled) || (peers != peerSums_.end() && peers->second.isStalled);
+}
+
+double BackendBook::fullLoad(const ServingTarget &target, RequestStage stage) const
+{
+    if (target.replica.isEmpty()) {
+        return settings_.plainFullAtLoad;
+    }
+    // In the order of RequestStage.
+    const std::array limits{settings_.fullAtLoad, settings_.fullForReturned, settings_.fullForMoved};
+    return limits.at(static_cast<std::size_t>(stage));
+}
+
+BackendBook::Choice BackendBook::pick(std::span<const Candidate> candidates, std::mt19937_64 &random) const
+{
+    const auto isBetter = [](const Candidate &left, const Candidate &right) {
+        return left.score < right.score;
+    };
+    std::vector<Candidate> drawn(candidates.begin(), candidates.end());
+    if (isRelayed_ && drawn.size() > settings_.relayedChoices) {
+        std::shuffle(drawn.begin(), drawn.end(), random);
+        drawn.resize(settings_.relayedChoices);
+    }
+    const auto best = std::min_element(drawn.begin(), drawn.end(), isBetter);
+    return {best->target, false, best->load};
+}
+
 BackendBook::Choice BackendBook::choose(std::span<const ServingTarget> targets,
                                         const ZoneId &zone,
                                         std::span<const VmId> excluded,
                                         TimePoint now,
                                         std::mt19937_64 &random,
-                                        bool isMoved) const
+                                        RequestStage stage) const
 {
-    Choice best;
-    Choice fallback; // recently failed, but not stalled
-    double bestScore = 0;
-    double fallbackScore = 0;
+    std::vector<Candidate> sound;
+    std::vector<Candidate> avoided; // recently failed, but not stalled
     double leastLoad = -1;
-    std::uniform_real_distribution<double> jitter(0, isRelayed_ ? settings_.relayedSpread : settings_.spread);
+    std::uniform_real_distribution<double> jitter(0, settings_.spread);
     for (const auto &target : targets) {
-        if (std::find(excluded.begin(), excluded.end(), target.server) != excluded.end()) {
-            continue;
-        }
-        const auto own = backends_.find(target.server);
-        const auto peers = peerSums_.find(target.server);
-        const bool isStalled = (own != backends_.end() && own->second.isStalled) || (peers != peerSums_.end() && peers->second.isStalled);
-        if (isStalled) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), target.server) != excluded.end();
+        if (isExcluded || isStalled(target.server)) {
             continue;
         }
         const double load = loadOf(target);
         leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
-        const double replicaFull = isMoved ? settings_.fullForMoved : settings_.fullAtLoad;
-        if (load >= (target.replica.isEmpty() ? settings_.plainFullAtLoad : replicaFull)) {
+        if (load >= fullLoad(target, stage)) {
             continue;
         }
         const double score = load + settings_.unreadWeight * readSeconds(target) + (target.zone == zone ? 0 : settings_.remotePenalty) + jitter(random);
+        const auto own = backends_.find(target.server);
         const bool isAvoided = own != backends_.end() && own->second.avoidUntil > now;
-        auto &choice = isAvoided ? fallback : best;
-        auto &choiceScore = isAvoided ? fallbackScore : bestScore;
-        if (choice.target == nullptr || score < choiceScore) {
-            choice = {&target, false, load};
-            choiceScore = score;
-        }
+        (isAvoided ? avoided : sound).push_back({&target, load, score});
     }
-    if (best.target != nullptr) {
-        return best;
+    if (!sound.empty()) {
+        return pick(sound, random);
     }
-    if (fallback.target != nullptr) {
-        return fallback;
+    if (!avoided.empty()) {
+        return pick(avoided, random);
     }
     return {nullptr, leastLoad >= 0, std::max(0.0, leastLoad)};
 }
--- a/src/gateway/backend_book.h
+++ b/src/gateway/backend_book.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "fleet/replica_view.h"
 
+#include <cstdint>
 #include <random>
 #include <span>
 #include <unordered_map>
@@ -31,17 +32,24 @@
     Duration stallAvoidTime{seconds(7)}; // after which a stalled server is tried again
     Duration failureAvoidTime{milliseconds(1500)}; // after a failure, doubled for each further one in a row
     unsigned maxFailureDoublings = 3;
-    double fullAtLoad = 1.15; // requests for each slot, above which a replica gets no more
+    double fullAtLoad = 1.05; // requests for each slot, above which a replica gets no more: its queue alone would make them late
+    double fullForReturned = 1.2; // as above for callers that come back after a refusal: they are late already, and would give up
     double fullForMoved = 1.7; // as above for streams that have begun elsewhere: to cut one is worse than to slow others a little
     double plainFullAtLoad = 3; // as above for plain services, whose requests are short
     double unreadWeight = 2; // load of a second's worth of prompts that wait to be read
     double spread = 0.03; // random part of a load where counts of peers are fresh
-    double relayedSpread = 0.8; // where they come through relays: many gateways see the same old counts and must not all choose
-                                // the target that was the least loaded then
+    unsigned relayedChoices = 2; // where counts come through relays: targets drawn at random, of which the least loaded is taken
     double remotePenalty = 0.06; // load that a server in another availability zone counts more
     Duration peerTimeout{seconds(2)}; // after which the counts of a silent daemon are dropped
 };
 
+/// How much a request has behind it when a target is chosen.
+enum class RequestStage : std::uint8_t {
+    New,
+    Returned, // its caller was refused before and came back
+    Begun, // its stream has begun at a server that was lost
+};
+
 /// Load of one backend server as a daemon tells its peers.
 struct BackendLoad {
     VmId server;
@@ -88,13 +96,15 @@
         double load = 0; // of the target, or the least load when all are full
     };
     /// The target with the least load for its slots, healthy ones first. @p excluded are not chosen.
-    /// @param isMoved the stream has begun at a server that was lost.
+    ///
+    /// Where the counts of peers are old, the less loaded of two that are drawn at random: the one that all gateways take for the
+    /// least loaded would be overrun before the next counts arrive.
     Choice choose(std::span<const ServingTarget> targets,
                   const ZoneId &zone,
                   std::span<const VmId> excluded,
                   TimePoint now,
                   std::mt19937_64 &random,
-                  bool isMoved = false) const;
+                  RequestStage stage = RequestStage::New) const;
 
 private:
     struct Backend {
@@ -113,6 +123,15 @@
 
     void tickBackend(const VmId &server, Backend &backend, TimePoint now);
     void sumPeers();
+    struct Candidate {
+        const ServingTarget *target = nullptr;
+        double load = 0;
+        double score = 0; // the lower the better
+    };
+
+    bool isStalled(const VmId &server) const;
+    double fullLoad(const ServingTarget &target, RequestStage stage) const;
+    Choice pick(std::span<const Candidate> candidates, std::mt19937_64 &random) const;
     double loadOf(const ServingTarget &target) const;
     /// Seconds that the target needs for the prompts that wait there.
     double readSeconds(const ServingTarget &target) const;
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -38,6 +38,8 @@
 /// Waiting time for callers when nothing serves the model, and when all places are taken.
 constexpr Duration RetryWhenNoneServes = milliseconds(900);
 constexpr Duration RetryWhenFull = milliseconds(400);
+/// A caller that states this much less time than others on its route has spent it on an earlier try.
+constexpr Duration ReturnedAfter = milliseconds(150);
 
 std::string chunkOf(std::string_view bytes)
 {
@@ -106,6 +108,11 @@
 void ForwardCall::parseTimes()
 {
     const auto stated = parseNumber(request_[context_.names.deadline]);
+    if (stated) {
+        auto &longest = context_.longestDeadlines[route_->name];
+        longest = std::max<Duration>(longest, milliseconds(*stated));
+        isReturned_ = milliseconds(*stated) + ReturnedAfter < longest;
+    }
     callerDeadline_ = receivedAt_ + (stated ? Duration(milliseconds(*stated)) : Duration(hours(1)));
     deadline_ = std::min(callerDeadline_, receivedAt_ + route_->timeout);
 }
@@ -174,6 +181,14 @@
     return route_->targets.back().service;
 }
 
+RequestStage ForwardCall::stage() const
+{
+    if (hasEvents_) {
+        return RequestStage::Begun;
+    }
+    return isReturned_ ? RequestStage::Returned : RequestStage::New;
+}
+
 const ServingTarget *ForwardCall::chooseTarget()
 {
     // The newest list: a server that left since the request came gets no more attempts.
@@ -182,7 +197,7 @@
     const auto service = services.find(service_);
     const bool hasEngine = service != services.end() && service->second.engine.has_value();
     const auto &targets = snapshot_->targets(service_, hasEngine ? model_ : ModelId());
-    const auto choice = context_.book.choose(targets, context_.settings.zone, excluded_, context_.now(), context_.random, hasEvents_);
+    const auto choice = context_.book.choose(targets, context_.settings.zone, excluded_, context_.now(), context_.random, stage());
     entry_.load = choice.load;
     if (choice.target != nullptr) {
         return choice.target;
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -51,6 +51,7 @@
     unsigned promptTokens() const;
     void parseTimes();
     const ServiceId &pickService() const;
+    RequestStage stage() const;
     const ServingTarget *chooseTarget();
 
     asio::awaitable<AttemptEnd> attempt(ServingTarget target);
@@ -90,6 +91,7 @@
     unsigned sent_ = 0; // attempts that reached a server
     unsigned unsent_ = 0;
     bool mayHaveRun_ = false;
+    bool isReturned_ = false; // the caller was refused before
     bool isCallerGone_ = false;
     bool isMoving_ = false;
     bool isHeaderSent_ = false;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -10,7 +10,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <map>
 #include <random>
+#include <string>
 
 namespace carawaypoint
 {
@@ -37,6 +39,7 @@
     BackendBook book;
     RetryAllowance retries;
     RequestLog log;
+    std::map<std::string, Duration> longestDeadlines; // that callers of a route have stated
     unsigned requestsInProgress = 0;
     std::uint64_t requestsBegun = 0;
     bool isDraining = false;
