--- a/src/fleet/replica_composer.cpp
+++ b/src/fleet/replica_composer.cpp
@@ -44,16 +44,34 @@
     return isStaged ? Warmth::Staged : Warmth::Cold;
 }
 
-std::optional<Composition> composeReplica(std::span<const FreeServer> free, std::span<const ModelSpec> models, std::span<const ModelDemand> demands)
+unsigned leftOver(std::size_t count, std::span<const ModelSpec> models)
 {
+    std::vector<bool> canFill(count + 1, false);
+    canFill[0] = true;
+    std::size_t filled = 0;
+    for (std::size_t servers = 1; servers <= count; ++servers) {
+        canFill[servers] = std::any_of(models.begin(), models.end(),
+                                       [&](const ModelSpec &model) { return model.size > 0 && model.size <= servers && canFill[servers - model.size]; });
+        filled = canFill[servers] ? servers : filled;
+    }
+    return static_cast<unsigned>(count - filled);
+}
+
+std::optional<Composition>
+composeReplica(std::span<const FreeServer> free, std::span<const ModelSpec> models, std::span<const ModelDemand> demands, const std::set<ModelId> &present)
+{
+    const auto least = leftOver(free.size(), models);
+    const auto staysUniform = [&](const ModelSpec &model) {
+        return present.contains(model.id) && leftOver(free.size() - model.size, models) == least;
+    };
     std::optional<Composition> best;
-    std::tuple<bool, double> bestRank;
+    std::tuple<bool, bool, double> bestRank;
     for (const auto &model : models) {
         if (model.size == 0 || free.size() < model.size) {
             continue;
         }
         auto candidate = warmestMembers(free, model);
-        const std::tuple<bool, double> rank{candidate.coldMembers > 0, capacityPerDemand(model.id, demands)};
+        const std::tuple<bool, bool, double> rank{candidate.coldMembers > 0, !staysUniform(model), capacityPerDemand(model.id, demands)};
         if (!best || rank < bestRank) {
             best = std::move(candidate);
             bestRank = rank;
--- a/src/fleet/replica_composer.h
+++ b/src/fleet/replica_composer.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -38,11 +39,19 @@
     unsigned coldMembers = 0;
 };
 
+/// Servers of @p count that are left over when replicas of @p models fill it as well as they can.
+unsigned leftOver(std::size_t count, std::span<const ModelSpec> models);
+
 /// Chooses the next replica to form from the free servers of one fabric domain; empty when none fits.
 ///
-/// Replicas that need no load from the weight store go first, since they serve within two seconds; among equals the model with
-/// the least capacity for its demand wins.
-std::optional<Composition> composeReplica(std::span<const FreeServer> free, std::span<const ModelSpec> models, std::span<const ModelDemand> demands);
+/// Replicas that need no load from the weight store go first, since they serve within two seconds. Next go models that the domain runs
+/// already, as long as this leaves no more servers over: in a domain of one model every server that is left can replace any
+/// other without a load. Among equals the model with the least capacity for its demand wins.
+/// @param present models of the domain's replicas.
+std::optional<Composition> composeReplica(std::span<const FreeServer> free,
+                                          std::span<const ModelSpec> models,
+                                          std::span<const ModelDemand> demands,
+                                          const std::set<ModelId> &present = {});
 
 /// The model whose weights @p server should stage so that it can replace a member at once; empty when it holds weights already.
 ///
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -7,6 +7,7 @@
 #include "fleet/replica_view.h"
 
 #include <map>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -103,9 +104,14 @@
 
     bool mayCompose(const ServerMap &servers, TimePoint now);
     void composeAll(const ServerMap &servers, TimePoint now);
-    using FreeByDomain = std::map<std::pair<ServiceId, FabricDomainId>, std::vector<FreeServer>>;
+    using DomainKey = std::pair<ServiceId, FabricDomainId>;
+    using FreeByDomain = std::map<DomainKey, std::vector<FreeServer>>;
     FreeByDomain findFree(const ServerMap &servers, TimePoint now) const;
     bool retireForWarmServers(const FreeByDomain &free, const ServerMap &servers, TimePoint now);
+    bool composeOne(FreeByDomain::value_type &domain, const ServerMap &servers, TimePoint now);
+    /// Whether the service has enough fabric domains to run one model in each.
+    static bool keepsUniform(const ServiceSpec &service, const ServerMap &servers);
+    std::set<ModelId> modelsOf(const DomainKey &domain) const;
     bool startReplica(const ServiceSpec &service, const FabricDomainId &domain, const Composition &composition, const ServerMap &servers, TimePoint now);
     void stageSpares(const ServiceSpec &service, const FabricDomainId &domain, std::span<const FreeServer> spares, const ServerMap &servers, TimePoint now);
     void endStagings(const ServerMap &servers, TimePoint now);
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr unsigned EpochsPerTermBits = 20;
+/// With fewer fabric domains for each model, the loss of one domain would take too much of the only model that it runs.
+constexpr std::size_t DomainsPerModel = 3;
 /// A staging that is not reported by then is ordered anew.
 constexpr unsigned StagingTimeFactor = 4;
 
@@ -138,32 +140,77 @@
     if (retireForWarmServers(free, servers, now)) {
         free = findFree(servers, now);
     }
-    // One replica for each domain in turn, so that a shortage of loads does not leave some domains empty.
+    // Domains of one availability zone follow each other, so that neighbours with different models share a zone.
+    std::vector<FreeByDomain::value_type *> domains;
+    domains.reserve(free.size());
+    for (auto &entry : free) {
+        domains.push_back(&entry);
+    }
+    std::stable_sort(domains.begin(), domains.end(), [&servers](const auto *left, const auto *right) {
+        return servers.at(left->second.front().id).zone < servers.at(right->second.front().id).zone;
+    });
     bool isAnyStarted = true;
     while (isAnyStarted) {
         isAnyStarted = false;
-        for (auto &[key, available] : free) {
-            std::erase_if(available, [this](const FreeServer &server) { return stagings_.contains(server.id); });
-            const auto &service = config_->services.at(key.first);
-            const auto composition = composeReplica(available, service.engine->models, demands(service));
-            if (!composition || !startReplica(service, key.second, *composition, servers, now)) {
-                continue;
+        for (auto *domain : domains) {
+            bool isStarted = composeOne(*domain, servers, now);
+            isAnyStarted = isAnyStarted || isStarted;
+            // Once there is traffic, one replica for each domain in turn, so that a shortage of loads does not leave some domains
+            // empty. Before it, the capacity of a whole domain counts when the model of the next is chosen.
+            while (isStarted && !hasTraffic_) {
+                isStarted = composeOne(*domain, servers, now);
             }
-            isAnyStarted = true;
-            std::erase_if(available, [&composition](const FreeServer &server) {
-                return std::find(composition->members.begin(), composition->members.end(), server.id) != composition->members.end();
-            });
         }
     }
     for (const auto &[key, spares] : free) {
         const auto &service = config_->services.at(key.first);
-        const bool canCompose = composeReplica(spares, service.engine->models, demands(service)).has_value();
+        const bool canCompose = std::any_of(service.engine->models.begin(), service.engine->models.end(),
+                                            [&spares](const ModelSpec &model) { return model.size > 0 && model.size <= spares.size(); });
         if (!canCompose) {
             stageSpares(service, key.second, spares, servers, now);
         }
     }
 }
 
+/// Starts the next replica of a domain and takes its members from the free servers; false when none fits or may load.
+bool ReplicaController::composeOne(FreeByDomain::value_type &domain, const ServerMap &servers, TimePoint now)
+{
+    auto &[key, available] = domain;
+    std::erase_if(available, [this](const FreeServer &server) { return stagings_.contains(server.id); });
+    const auto &service = config_->services.at(key.first);
+    const auto composition =
+        composeReplica(available, service.engine->models, demands(service), keepsUniform(service, servers) ? modelsOf(key) : std::set<ModelId>());
+    if (!composition || !startReplica(service, key.second, *composition, servers, now)) {
+        return false;
+    }
+    std::erase_if(available, [&composition](const FreeServer &server) {
+        return std::find(composition->members.begin(), composition->members.end(), server.id) != composition->members.end();
+    });
+    return true;
+}
+
+bool ReplicaController::keepsUniform(const ServiceSpec &service, const ServerMap &servers)
+{
+    std::set<FabricDomainId> domains;
+    for (const auto &[id, server] : servers) {
+        if (server.service == service.id) {
+            domains.insert(server.domain);
+        }
+    }
+    return domains.size() >= DomainsPerModel * service.engine->models.size();
+}
+
+std::set<ModelId> ReplicaController::modelsOf(const DomainKey &domain) const
+{
+    std::set<ModelId> models;
+    for (const auto &[id, plan] : plans_) {
+        if (plan.service == domain.first && plan.domain == domain.second && plan.phase <= PlanPhase::Serving) {
+            models.insert(plan.model);
+        }
+    }
+    return models;
+}
+
 bool ReplicaController::startReplica(const ServiceSpec &service,
                                      const FabricDomainId &domain,
                                      const Composition &composition,
--- a/src/gateway/backend_book.cpp
+++ b/src/gateway/backend_book.cpp
@@ -48,6 +48,28 @@
     auto &backend = backends_[server];
     backend.quietTicks = 0;
     backend.isStalled = false;
+    backend.ticksSinceEvent = 0;
+    backend.hadEvents = true;
+}
+
+bool BackendBook::isProgressing(const Backend &backend) const
+{
+    return backend.hadEvents && backend.ticksSinceEvent < settings_.progressTicks;
+}
+
+bool BackendBook::isProgressingElsewhere(const VmId &server) const
+{
+    const auto peers = peerSums_.find(server);
+    return peers != peerSums_.end() && peers->second.isProgressing;
+}
+
+void BackendBook::moveStreams(const Backend &backend)
+{
+    // Moving a call may change the set.
+    const std::vector<MovableCall *> calls(backend.streams.begin(), backend.streams.end());
+    for (auto *call : calls) {
+        call->moveAway();
+    }
 }
 
 void BackendBook::noteFailure(const VmId &server, TimePoint now)
@@ -88,6 +110,7 @@
 
 void BackendBook::tickBackend(const VmId &server, Backend &backend, TimePoint now)
 {
+    ++backend.ticksSinceEvent;
     if (backend.streams.empty()) {
         backend.quietTicks = 0;
         if (backend.isStalled && now >= backend.avoidUntil) {
@@ -100,21 +123,25 @@
     if (backend.quietTicks < (hasBegun ? settings_.silentTicks : settings_.silentTicksUnbegun)) {
         return;
     }
+    if (isProgressingElsewhere(server)) {
+        if (backend.quietTicks == settings_.silentTicksAlone) {
+            backend.avoidUntil = now + settings_.failureAvoidTime;
+            moveStreams(backend);
+        }
+        return;
+    }
     if (!std::exchange(backend.isStalled, true)) {
         stalled_.push_back(server);
     }
     backend.avoidUntil = now + settings_.stallAvoidTime;
-    const std::vector<MovableCall *> calls(backend.streams.begin(), backend.streams.end());
-    for (auto *call : calls) {
-        call->moveAway();
-    }
+    moveStreams(backend);
 }
 
 void BackendBook::setPeerLoads(const MemberId &peer, std::vector<BackendLoad> loads, TimePoint now)
 {
     for (const auto &load : loads) {
         const auto known = peerSums_.find(load.server);
-        if (load.isStalled && (known == peerSums_.end() || !known->second.isStalled)) {
+        if (load.isStalled && !load.isProgressing && (known == peerSums_.end() || !known->second.isStalled)) {
             stalled_.push_back(load.server);
         }
     }
@@ -131,6 +158,7 @@
             sum.requests += load.requests;
             sum.unreadTokens += load.unreadTokens;
             sum.isStalled = sum.isStalled || load.isStalled;
+            sum.isProgressing = sum.isProgressing || load.isProgressing;
         }
     }
 }
@@ -139,8 +167,8 @@
 {
     std::vector<BackendLoad> loads;
     for (const auto &[server, backend] : backends_) {
-        if (backend.own > 0 || backend.isStalled) {
-            loads.push_back({server, backend.own, backend.unreadTokens, backend.isStalled});
+        if (backend.own > 0 || backend.isStalled || isProgressing(backend)) {
+            loads.push_back({server, backend.own, backend.unreadTokens, backend.isStalled, isProgressing(backend)});
         }
     }
     return loads;
@@ -180,6 +208,9 @@
 
 bool BackendBook::isStalled(const VmId &server) const
 {
+    if (isProgressingElsewhere(server)) {
+        return false;
+    }
     const auto own = backends_.find(server);
     const auto peers = peerSums_.find(server);
     return (own != backends_.end() && own->second.isStalled) || (peers != peerSums_.end() && peers->second.isStalled);
--- a/src/gateway/backend_book.h
+++ b/src/gateway/backend_book.h
@@ -29,6 +29,9 @@
     Duration tick{milliseconds(100)}; // how often tick() is called
     unsigned silentTicks = 8; // without an event of any stream in progress, after which a server is stalled
     unsigned silentTicksUnbegun = 14; // when no stream has begun: a queue can be silent for longer
+    unsigned silentTicksAlone = 17; // when other daemons get events: only the connections of this one may be at fault. Callers leave
+                                    // after two seconds of silence
+    unsigned progressTicks = 4; // without an event, after which a server is not reported as progressing
     Duration stallAvoidTime{seconds(7)}; // after which a stalled server is tried again
     Duration failureAvoidTime{milliseconds(1500)}; // after a failure, doubled for each further one in a row
     unsigned maxFailureDoublings = 3;
@@ -56,12 +59,16 @@
     unsigned requests = 0;
     unsigned unreadTokens = 0; // of prompts whose stream has not begun
     bool isStalled = false;
+    bool isProgressing = false; // some stream had an event just before
+
+    bool operator==(const BackendLoad &) const = default;
 };
 
 /// What this daemon knows of the load and health of each backend server. Pure but for the random generator passed in.
 ///
 /// Answers the pattern of a replica whose member is lost: its head accepts requests and sends nothing. Silence of all its
-/// streams, not of one, marks it as stalled.
+/// streams, not of one, marks it as stalled: a daemon with a single stream that waits in a queue must not take the replica away from
+/// all others, so that an event at any daemon disproves the silence that one of them sees.
 class BackendBook
 {
 public:
@@ -111,7 +118,9 @@
         unsigned own = 0;
         unsigned unreadTokens = 0;
         std::unordered_set<MovableCall *> streams;
-        unsigned quietTicks = 0;
+        unsigned quietTicks = 0; // while streams are in progress
+        unsigned ticksSinceEvent = 0;
+        bool hadEvents = false;
         unsigned failures = 0;
         TimePoint avoidUntil{};
         bool isStalled = false;
@@ -122,6 +131,9 @@
     };
 
     void tickBackend(const VmId &server, Backend &backend, TimePoint now);
+    static void moveStreams(const Backend &backend);
+    bool isProgressing(const Backend &backend) const;
+    bool isProgressingElsewhere(const VmId &server) const;
     void sumPeers();
     struct Candidate {
         const ServingTarget *target = nullptr;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -43,6 +43,7 @@
         sum.requests += load.requests;
         sum.unreadTokens += load.unreadTokens;
         sum.isStalled = sum.isStalled || load.isStalled;
+        sum.isProgressing = sum.isProgressing || load.isProgressing;
     }
 }
 
--- a/src/gateway/load_report.capnp
+++ b/src/gateway/load_report.capnp
@@ -11,6 +11,7 @@
     requests @1 :UInt32; # in progress there from this gateway
     isStalled @2 :Bool;
     unreadTokens @3 :UInt32; # of prompts there whose stream has not begun
+    isProgressing @4 :Bool; # some stream there had an event just before
 }
 
 struct LoadReport {
--- a/src/gateway/load_report.capnp.h
+++ b/src/gateway/load_report.capnp.h
@@ -10,559 +10,508 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
-namespace capnp
-{
-namespace schemas
-{
+namespace capnp {
+namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(de6952d1b4451645);
 CAPNP_DECLARE_SCHEMA(fc1da4c1689683b4);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
-namespace carawaypoint
-{
-namespace wire
-{
+namespace carawaypoint {
+namespace wire {
 
 struct ServerLoad {
-    ServerLoad() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(de6952d1b4451645, 2, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  ServerLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de6952d1b4451645, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct LoadReport {
-    LoadReport() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 3, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  LoadReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
-class ServerLoad::Reader
-{
+class ServerLoad::Reader {
 public:
-    typedef ServerLoad Reads;
+  typedef ServerLoad Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
-    inline bool hasServer() const;
-    inline ::capnp::Text::Reader getServer() const;
+  inline  ::uint32_t getRequests() const;
 
-    inline ::uint32_t getRequests() const;
+  inline bool getIsStalled() const;
 
-    inline bool getIsStalled() const;
+  inline  ::uint32_t getUnreadTokens() const;
 
-    inline ::uint32_t getUnreadTokens() const;
+  inline bool getIsProgressing() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class ServerLoad::Builder
-{
+class ServerLoad::Builder {
 public:
-    typedef ServerLoad Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr))
-    {
-    }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const
-    {
-        return Reader(_builder.asReader());
-    }
-    inline Reader asReader() const
-    {
-        return *this;
-    }
-
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return asReader().totalSize();
-    }
+  typedef ServerLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasServer();
-    inline ::capnp::Text::Builder getServer();
-    inline void setServer(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initServer(unsigned int size);
-    inline void adoptServer(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownServer();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-    inline ::uint32_t getRequests();
-    inline void setRequests(::uint32_t value);
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
 
-    inline bool getIsStalled();
-    inline void setIsStalled(bool value);
+  inline bool getIsStalled();
+  inline void setIsStalled(bool value);
 
-    inline ::uint32_t getUnreadTokens();
-    inline void setUnreadTokens(::uint32_t value);
+  inline  ::uint32_t getUnreadTokens();
+  inline void setUnreadTokens( ::uint32_t value);
+
+  inline bool getIsProgressing();
+  inline void setIsProgressing(bool value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ServerLoad::Pipeline
-{
+class ServerLoad::Pipeline {
 public:
-    typedef ServerLoad Pipelines;
+  typedef ServerLoad Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class LoadReport::Reader
-{
+class LoadReport::Reader {
 public:
-    typedef LoadReport Reads;
+  typedef LoadReport Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasGateway() const;
-    inline ::capnp::Text::Reader getGateway() const;
+  inline bool hasGateway() const;
+  inline  ::capnp::Text::Reader getGateway() const;
 
-    inline ::uint64_t getProcess() const;
+  inline  ::uint64_t getProcess() const;
 
-    inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
-    inline bool hasLoads() const;
-    inline ::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
-    inline ::uint64_t getRequestsBegun() const;
+  inline  ::uint64_t getRequestsBegun() const;
 
-    inline bool hasZone() const;
-    inline ::capnp::Text::Reader getZone() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class LoadReport::Builder
-{
+class LoadReport::Builder {
 public:
-    typedef LoadReport Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr))
-    {
-    }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const
-    {
-        return Reader(_builder.asReader());
-    }
-    inline Reader asReader() const
-    {
-        return *this;
-    }
-
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return asReader().totalSize();
-    }
+  typedef LoadReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasGateway();
-    inline ::capnp::Text::Builder getGateway();
-    inline void setGateway(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initGateway(unsigned int size);
-    inline void adoptGateway(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownGateway();
-
-    inline ::uint64_t getProcess();
-    inline void setProcess(::uint64_t value);
-
-    inline ::uint64_t getSequence();
-    inline void setSequence(::uint64_t value);
-
-    inline bool hasLoads();
-    inline ::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Builder getLoads();
-    inline void setLoads(::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-    inline void adoptLoads(::capnp::Orphan<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>> disownLoads();
-
-    inline ::uint64_t getRequestsBegun();
-    inline void setRequestsBegun(::uint64_t value);
-
-    inline bool hasZone();
-    inline ::capnp::Text::Builder getZone();
-    inline void setZone(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initZone(unsigned int size);
-    inline void adoptZone(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownZone();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGateway();
+  inline  ::capnp::Text::Builder getGateway();
+  inline void setGateway( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGateway(unsigned int size);
+  inline void adoptGateway(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGateway();
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline  ::uint64_t getRequestsBegun();
+  inline void setRequestsBegun( ::uint64_t value);
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class LoadReport::Pipeline
-{
+class LoadReport::Pipeline {
 public:
-    typedef LoadReport Pipelines;
+  typedef LoadReport Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool ServerLoad::Reader::hasServer() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ServerLoad::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerLoad::Builder::hasServer()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ServerLoad::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServerLoad::Reader::getServer() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerLoad::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServerLoad::Builder::getServer()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerLoad::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerLoad::Builder::setServer(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ServerLoad::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServerLoad::Builder::initServer(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ServerLoad::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServerLoad::Builder::adoptServer(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServerLoad::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServerLoad::Builder::disownServer()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerLoad::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t ServerLoad::Reader::getRequests() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServerLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ServerLoad::Builder::getRequests()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServerLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setRequests(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ServerLoad::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServerLoad::Reader::getIsStalled() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool ServerLoad::Reader::getIsStalled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool ServerLoad::Builder::getIsStalled()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool ServerLoad::Builder::getIsStalled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setIsStalled(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void ServerLoad::Builder::setIsStalled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t ServerLoad::Reader::getUnreadTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServerLoad::Reader::getUnreadTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ServerLoad::Builder::getUnreadTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServerLoad::Builder::getUnreadTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setUnreadTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ServerLoad::Builder::setUnreadTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadReport::Reader::hasGateway() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ServerLoad::Reader::getIsProgressing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline bool LoadReport::Builder::hasGateway()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline bool ServerLoad::Builder::getIsProgressing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Reader LoadReport::Reader::getGateway() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void ServerLoad::Builder::setIsProgressing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder LoadReport::Builder::getGateway()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool LoadReport::Reader::hasGateway() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void LoadReport::Builder::setGateway(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline bool LoadReport::Builder::hasGateway() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Builder LoadReport::Builder::initGateway(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Reader LoadReport::Reader::getGateway() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LoadReport::Builder::adoptGateway(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder LoadReport::Builder::getGateway() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::Text> LoadReport::Builder::disownGateway()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void LoadReport::Builder::setGateway( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initGateway(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptGateway(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownGateway() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LoadReport::Reader::getProcess() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadReport::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LoadReport::Builder::getProcess()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadReport::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LoadReport::Builder::setProcess(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LoadReport::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t LoadReport::Reader::getSequence() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LoadReport::Builder::getSequence()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LoadReport::Builder::setSequence(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void LoadReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadReport::Reader::hasLoads() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool LoadReport::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool LoadReport::Builder::hasLoads()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool LoadReport::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getLoads() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getLoads()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LoadReport::Builder::setLoads(::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void LoadReport::Builder::setLoads( ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initLoads(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void LoadReport::Builder::adoptLoads(::capnp::Orphan<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void LoadReport::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>> LoadReport::Builder::disownLoads()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::carawaypoint::wire::ServerLoad, ::capnp::Kind::STRUCT>>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LoadReport::Reader::getRequestsBegun() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadReport::Reader::getRequestsBegun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LoadReport::Builder::getRequestsBegun()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadReport::Builder::getRequestsBegun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LoadReport::Builder::setRequestsBegun(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void LoadReport::Builder::setRequestsBegun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadReport::Reader::hasZone() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool LoadReport::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool LoadReport::Builder::hasZone()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool LoadReport::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LoadReport::Reader::getZone() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LoadReport::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LoadReport::Builder::getZone()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LoadReport::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void LoadReport::Builder::setZone(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void LoadReport::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LoadReport::Builder::initZone(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder LoadReport::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void LoadReport::Builder::adoptZone(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void LoadReport::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LoadReport::Builder::disownZone()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-} // namespace
-} // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -26,6 +26,7 @@
         loads[i].setRequests(report.loads[i].requests);
         loads[i].setUnreadTokens(report.loads[i].unreadTokens);
         loads[i].setIsStalled(report.loads[i].isStalled);
+        loads[i].setIsProgressing(report.loads[i].isProgressing);
     }
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
@@ -48,7 +49,7 @@
         report.requestsBegun = root.getRequestsBegun();
         report.zone = ZoneId(root.getZone().cStr());
         for (const auto load : root.getLoads()) {
-            report.loads.push_back({VmId(load.getServer().cStr()), load.getRequests(), load.getUnreadTokens(), load.getIsStalled()});
+            report.loads.push_back({VmId(load.getServer().cStr()), load.getRequests(), load.getUnreadTokens(), load.getIsStalled(), load.getIsProgressing()});
         }
         return report;
     } catch (const kj::Exception &) {
--- a/tests/fleet/fleet_rules_test.cpp
+++ b/tests/fleet/fleet_rules_test.cpp
@@ -230,6 +230,23 @@
     EXPECT_FALSE(composeReplica(std::span(free).first(1), models, demands));
 }
 
+// Guards against domains that mix models for no gain: a lost member of one model then needs a load although servers of the other are
+// left over.
+TEST(ReplicaComposer, aDomainGoesOnWithItsModelWhereThatWastesNoServer)
+{
+    const std::vector<ModelSpec> models{{ModelId("large"), 12, 0.5, 1.0, seconds(16), seconds(1)}, {ModelId("small"), 6, 0.5, 0.6, seconds(12), seconds(1)}};
+    const std::vector<ModelDemand> demands{{ModelId("large"), 12, 0.5}, {ModelId("small"), 0, 0.5}};
+    const std::vector<FreeServer> fifteen(15);
+    EXPECT_EQ(composeReplica(fifteen, models, demands, {ModelId("large")})->model.str(), "large");
+    EXPECT_EQ(composeReplica(fifteen, models, demands, {ModelId("small")})->model.str(), "small");
+    EXPECT_EQ(composeReplica(fifteen, models, demands)->model.str(), "small");
+    // Another large one would leave six servers over.
+    const std::vector<FreeServer> eighteen(18);
+    const std::vector<ModelSpec> uneven{{ModelId("large"), 12, 0.5, 1.0, seconds(16), seconds(1)}, {ModelId("small"), 9, 0.5, 0.6, seconds(12), seconds(1)}};
+    EXPECT_EQ(leftOver(18, uneven), 0U);
+    EXPECT_EQ(composeReplica(eighteen, uneven, demands, {ModelId("large")})->model.str(), "small");
+}
+
 // Guards against spares that all hold the same model, and against one that drops weights it holds.
 TEST(ReplicaComposer, sparesStageTheModelThatIsMostExposed)
 {
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -182,6 +182,37 @@
     EXPECT_EQ(book.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
 }
 
+// Guards against one daemon whose only stream waits in a queue and that takes the replica away from all others for seconds.
+TEST(BackendBook, eventsAtAnotherDaemonDisproveAStall)
+{
+    std::mt19937_64 random(1);
+    BackendBook book;
+    FakeCall waiting;
+    book.begin(VmId("x"), &waiting);
+    auto now = Start;
+    const ServingTarget targets[] = {makeTarget("x")};
+    for (int tick = 0; tick < 16; ++tick) {
+        book.setPeerLoads(MemberId("p"), {{VmId("x"), 2, 0, false, true}}, now);
+        book.tick(now += Tick);
+    }
+    EXPECT_THAT(book.takeStalled(), IsEmpty());
+    EXPECT_EQ(waiting.moves, 0);
+    EXPECT_NE(book.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    EXPECT_FALSE(book.ownLoads().front().isStalled);
+    // Before its caller leaves, the stream is tried elsewhere, since the connection may be at fault.
+    book.tick(now += Tick);
+    EXPECT_EQ(waiting.moves, 1);
+    EXPECT_THAT(book.takeStalled(), IsEmpty());
+    // A peer that says the server is stalled is outvoted by one that gets events.
+    book.setPeerLoads(MemberId("q"), {{VmId("x"), 1, 0, true, false}}, now);
+    EXPECT_NE(book.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    // Without events anywhere the server is stalled.
+    book.setPeerLoads(MemberId("p"), {{VmId("x"), 2, 0, false, false}}, now);
+    book.tick(now += Tick);
+    EXPECT_EQ(book.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    EXPECT_TRUE(book.ownLoads().front().isStalled);
+}
+
 // Guards against a daemon that was starved of processor time and takes its own delay for the silence of all servers.
 TEST(BackendBook, lateTicksDoNotCountAsSilence)
 {
@@ -271,7 +302,7 @@
 
 TEST(LoadReportCodec, readsBackWhatItWrote)
 {
-    const GatewayLoadReport report{MemberId("g"), 5, 6, {{VmId("x"), 7, 70, true}, {VmId("y"), 8, 0, false}}, 9};
+    const GatewayLoadReport report{MemberId("g"), 5, 6, {{VmId("x"), 7, 70, true, false}, {VmId("y"), 8, 0, false, true}}, 9};
     const auto decoded = decodeReport(encodeReport(report));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->gateway, report.gateway);
