Follow the store through the relays of the zone

Two relays of each zone and the holder of the lease now watch it; the others take notices of changes by datagrams, ask the store only to fill a gap, and watch it themselves when the relays are silent for 0.9 s.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -159,7 +159,7 @@
             const auto path = options_.workDir + "/gateway-" + std::to_string(number);
             std::ofstream(path + ".ini") << "[process]\nid = gateway-" << number << "\nzone = a\n[listen]\ncallers = " << address
                                          << ":8000\nreadiness = " << address << ":8001\nmetrics = " << address << ":8002\npeer = " << address
-                                         << ":8003\n[store]\naddress = " << address
+                                         << ":8003\nchanges = " << address << ":8004\n[store]\naddress = " << address
                                          << ":9300\n[serving]\ndrain_time = 6s\nstall_time = 2s\nretry_slack = 400\n";
             gateways_.push_back(std::make_unique<GatewayProcess>(options_.binary, path + ".ini", path + ".log"));
             gateways_.back()->start();
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -24,6 +24,7 @@
     {.key = "readiness", .kind = ValueKind::Address, .isRequired = true, .description = "Address that the balancer asks for readiness."},
     {.key = "metrics", .kind = ValueKind::Address, .isRequired = true, .description = "Address of GET /metrics."},
     {.key = "peer", .kind = ValueKind::Address, .isRequired = true, .description = "UDP address for the exchange of load between daemons."},
+    {.key = "changes", .kind = ValueKind::Address, .isRequired = true, .description = "UDP address for notices of changes in the store."},
 };
 constexpr KeySchema StoreKeys[] = {
     {.key = "address", .kind = ValueKind::Address, .isRequired = true, .description = "The platform's object store."},
@@ -80,6 +81,7 @@
     settings.readiness = values.address("listen", "readiness");
     settings.metrics = values.address("listen", "metrics");
     settings.peer = values.address("listen", "peer");
+    settings.changes = values.address("listen", "changes");
     settings.store = values.address("store", "address");
     settings.drainTime = values.at("serving", "drain_time").time;
     settings.stallTime = values.at("serving", "stall_time").time;
--- a/src/config/gateway_settings.h
+++ b/src/config/gateway_settings.h
@@ -21,6 +21,7 @@
     Endpoint readiness;
     Endpoint metrics;
     Endpoint peer; // UDP, for the exchange of load
+    Endpoint changes; // UDP, for notices of changes in the store
     Endpoint store;
     Duration drainTime{};
     Duration stallTime{};
--- /dev/null
+++ b/src/gateway/change_feed.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "gateway/change_notice.h"
+#include "gateway/relay_plan.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <span>
+#include <system_error>
+
+namespace carawaypoint
+{
+
+/// Sends and receives notices of changes as datagrams. Only the control thread uses it.
+///
+/// Lost datagrams do no harm: ChangeFollower sees the gap in the revisions.
+class ChangeFeed
+{
+public:
+    using Handler = std::function<void(const ChangeNotice &)>;
+
+    explicit ChangeFeed(boost::asio::io_context &io);
+
+    std::error_code open(const Endpoint &endpoint, Handler handler);
+    void send(const ChangeNotice &notice, std::span<const PeerGateway> receivers);
+
+private:
+    boost::asio::awaitable<void> receiveAll();
+
+    boost::asio::ip::udp::socket socket_;
+    Handler handler_;
+    std::array<std::byte, MaxNoticeBytes> space_{};
+};
+
+}
--- /dev/null
+++ b/src/gateway/change_notice.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/clock.h"
+#include "objects/object_store.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace carawaypoint
+{
+
+/// Changes of the registered servers between two revisions of the store, from a gateway that watches it.
+struct ChangeNotice {
+    std::uint64_t fromRevision = 0;
+    std::uint64_t toRevision = 0;
+    std::uint64_t configVersion = 0; // object version of the configuration that the sender has
+    Duration unsettledTime{}; // for which removals may still be undone, since the store was away
+    std::vector<ObjectEvent> changes; // all after fromRevision, in order
+
+    bool isComplete() const
+    {
+        return toRevision == fromRevision || !changes.empty();
+    }
+};
+
+/// Largest datagram that is sent; a notice that needs more goes without its changes.
+inline constexpr std::size_t MaxNoticeBytes = 32768;
+
+std::vector<std::byte> encodeNotice(const ChangeNotice &notice);
+/// Empty for bytes that are no notice.
+std::optional<ChangeNotice> decodeNotice(std::span<const std::byte> bytes);
+
+}
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -22,12 +22,20 @@
 constexpr Duration TickInterval = milliseconds(150);
 /// Between reads of the lease and of the daemons' addresses.
 constexpr Duration PollInterval = seconds(1);
-/// Changes of servers within the pause are fetched together. It grows with the number of daemons, so that all of them together make
-/// at most some sixty such calls a second, and stays below the time in which a leaving server must get no more requests. The holder
-/// of the lease acts on the changes and waits for the least time.
+/// Gateways that follow the store through relays use the list of daemons only to know their relays.
+constexpr Duration FollowerPollInterval = seconds(5);
+/// Changes of servers within the pause are fetched together. The holder of the lease acts on them and waits for the least time.
 constexpr Duration MinServerPause = milliseconds(120);
-constexpr Duration MaxServerPause = milliseconds(1000);
-constexpr Duration ServerPausePerDaemon = milliseconds(16);
+/// Of relays: two of each zone watch the store, so that their calls do not grow with the fleet. With the way to the gateways of the
+/// zone it stays well below the time in which a leaving server must get no more requests.
+constexpr Duration RelayedServerPause = milliseconds(400);
+/// Longest wait of a call for changes; bounds how long a connection that went silent goes unnoticed.
+constexpr Duration DirectWait = milliseconds(2500);
+/// Of relays, whose zone depends on them.
+constexpr Duration RelayedWait = milliseconds(1000);
+/// A relay without an answer for this long, the wait and the time limit of a call, no longer speaks for the store.
+constexpr Duration RelayAnswerAge = milliseconds(1800);
+constexpr Duration HeartbeatInterval = milliseconds(250);
 /// A new holder of the lease waits for what its predecessor did last to be in the list.
 constexpr Duration TermSettleTime = milliseconds(600);
 constexpr Duration UnlistedProbeInterval = seconds(2);
@@ -66,23 +74,26 @@
     , platform_(platform)
     , hooks_(std::move(hooks))
     , tickTimer_(io)
+    , feed_(io)
     , lease_(settings.id, process)
     , controller_(ReplicaControllerSettings{.stallTime = settings.stallTime})
 {
-    const auto failureOf = [this](std::string_view what) {
-        return [this, what](std::error_code error) {
-            noteStoreResult(what, error);
-        };
-    };
-    KindWatcher::Hooks config;
-    config.onList = [this](const std::vector<StoredObject> &objects) {
+    configWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(), KindWatcher::Settings{.kind = platform.configKind()}, configHooks());
+    serverWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(),
+                                                   KindWatcher::Settings{.kind = platform.serverKind(), .pause = MinServerPause}, serverHooks());
+}
+
+KindWatcher::Hooks FleetControl::configHooks()
+{
+    KindWatcher::Hooks hooks;
+    hooks.onList = [this](const std::vector<StoredObject> &objects) {
         noteStoreResult("configuration", {});
         for (const auto &object : objects) {
             applyConfig(object);
         }
         publishIfChanged();
     };
-    config.onEvents = [this](std::span<const ObjectEvent> events) {
+    hooks.onEvents = [this](std::span<const ObjectEvent> events) {
         noteStoreResult("configuration", {});
         for (const auto &event : events) {
             if (!event.isRemoved) {
@@ -91,21 +102,110 @@
         }
         publishIfChanged();
     };
-    config.onFailure = failureOf("configuration");
-    configWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(), KindWatcher::Settings{.kind = platform.configKind()}, config);
+    hooks.onFailure = [this](std::error_code error) {
+        noteStoreResult("configuration", error);
+    };
+    return hooks;
+}
 
-    KindWatcher::Hooks servers;
-    servers.onList = [this](const std::vector<StoredObject> &objects) {
+KindWatcher::Hooks FleetControl::serverHooks()
+{
+    KindWatcher::Hooks hooks;
+    hooks.onList = [this](const std::vector<StoredObject> &objects) {
         noteStoreResult("servers", {});
         applyServers(objects);
+        watchedAt_ = clock_.now();
+        // What a list changed is not known one by one: the gateways of the zone see the gap and ask the store.
+        publishedRevision_ = serverWatcher_->revision();
+        publishChanges({});
     };
-    servers.onEvents = [this](std::span<const ObjectEvent> events) {
+    hooks.onEvents = [this](std::span<const ObjectEvent> events) {
         noteStoreResult("servers", {});
         applyServerEvents(events);
+        watchedAt_ = clock_.now();
+        publishChanges(events);
     };
-    servers.onFailure = failureOf("servers");
-    serverWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(),
-                                                   KindWatcher::Settings{.kind = platform.serverKind(), .pause = MinServerPause}, servers);
+    hooks.onFailure = [this](std::error_code error) {
+        noteStoreResult("servers", error);
+    };
+    return hooks;
+}
+
+std::error_code FleetControl::open(const Endpoint &changes)
+{
+    return feed_.open(changes, [this](const ChangeNotice &notice) { followNotice(notice); });
+}
+
+bool FleetControl::mustWatch(TimePoint now) const
+{
+    return plan_.isDirect() || plan_.isRelay() || lease_.isHeld(now) || !follower_.isFed(now);
+}
+
+/// Watches the store, or follows it through the relays of the zone.
+void FleetControl::updateWatching(TimePoint now)
+{
+    const bool isWatching = !serverWatcher_->isSuspended();
+    if (mustWatch(now) == isWatching || !isReady() || isStopping_) {
+        return;
+    }
+    if (isWatching) {
+        if (configWatcher_->suspend() && !serverWatcher_->suspend()) {
+            configWatcher_->resume();
+        }
+    } else {
+        configWatcher_->resume();
+        serverWatcher_->resume();
+    }
+    logDecision("store", "changes", serverWatcher_->isSuspended() ? "followed through relays" : "watched",
+                follower_.isFed(now) ? "role of this gateway" : "no notice from a relay", {{"revision", serverWatcher_->revision()}});
+}
+
+void FleetControl::followNotice(const ChangeNotice &notice)
+{
+    const auto now = clock_.now();
+    const auto step = follower_.note(notice, serverWatcher_->revision(), now);
+    if (!serverWatcher_->isSuspended()) {
+        return;
+    }
+    if (notice.unsettledTime.count() > 0) {
+        registry_.deferUntil(now + notice.unsettledTime);
+    }
+    // A large configuration takes longer than the next notice: a list that is under way is not begun anew.
+    if (notice.configVersion > configVersion_ && !configWatcher_->isListDue()) {
+        configWatcher_->listAgain();
+    }
+    if (step == ChangeFollower::Step::CatchUp) {
+        serverWatcher_->catchUp();
+    }
+    if (step == ChangeFollower::Step::Apply) {
+        serverWatcher_->advance(notice.toRevision);
+        applyServerEvents(notice.changes);
+    }
+}
+
+/// Tells the gateways of the zone, where this one is their relay.
+void FleetControl::publishChanges(std::span<const ObjectEvent> events)
+{
+    ChangeNotice notice;
+    notice.fromRevision = std::exchange(publishedRevision_, serverWatcher_->revision());
+    notice.toRevision = publishedRevision_;
+    publishedAt_ = clock_.now();
+    if (plan_.zonePeers().empty()) {
+        return;
+    }
+    notice.configVersion = configVersion_;
+    notice.unsettledTime = registry_.unsettledTime(clock_.now());
+    notice.changes.assign(events.begin(), events.end());
+    feed_.send(notice, plan_.zonePeers());
+}
+
+void FleetControl::sendHeartbeat(TimePoint now)
+{
+    // A relay that gets no answers from the store itself must not keep others from asking it.
+    const bool isCurrent = now - watchedAt_ < RelayAnswerAge && isStoreReachable_ && !serverWatcher_->isSuspended();
+    if (plan_.isRelay() && isCurrent && now - publishedAt_ >= HeartbeatInterval) {
+        publishChanges({});
+    }
 }
 
 void FleetControl::start()
@@ -196,8 +296,12 @@
                 {{"version", config->version}, {"object_version", object.version}, {"routes", static_cast<std::uint64_t>(config->routeCount())}});
     metricsRegistry().set(GaugeMetric::ConfigGeneration, {}, static_cast<double>(config->version));
     config_ = std::move(config);
+    configVersion_ = object.version;
     controller_.setConfig(config_);
     isConfigChanged_ = true;
+    if (plan_.isRelay()) {
+        publishChanges({});
+    }
 }
 
 void FleetControl::applyServers(std::span<const StoredObject> objects)
@@ -264,13 +368,15 @@
     if (!isRegistered_ && !isRegistering_) {
         registerSelf();
     }
-    if (now - polledAt_ >= PollInterval && !isPolling_) {
+    updateWatching(now);
+    sendHeartbeat(now);
+    const bool isWatching = !serverWatcher_->isSuspended();
+    if (now - polledAt_ >= (isWatching ? PollInterval : FollowerPollInterval) && !isPolling_) {
         pollDaemons();
     }
-    if (lease_.mustRead()) {
-        readLease();
-    } else if (const auto write = lease_.takeWrite(now)) {
-        writeLease(*write);
+    // Only gateways that watch the store compete for the lease, so that its lapse does not make all of them write at once.
+    if (isWatching) {
+        keepLease(now);
     }
     driveReplicas();
     tickTimer_.expires_after(TickInterval);
@@ -281,10 +387,20 @@
     });
 }
 
+void FleetControl::keepLease(TimePoint now)
+{
+    if (lease_.mustRead()) {
+        readLease();
+    } else if (const auto write = lease_.takeWrite(now)) {
+        writeLease(*write);
+    }
+}
+
 void FleetControl::registerSelf()
 {
     isRegistering_ = true;
-    const json::object value{{"peer", settings_.peer.toString()}, {"zone", settings_.zone.str()}, {"process", process_}};
+    const json::object value{
+        {"peer", settings_.peer.toString()}, {"changes", settings_.changes.toString()}, {"zone", settings_.zone.str()}, {"process", process_}};
     platform_.store().put(platform_.daemonKind(), std::string(DaemonPrefix) + settings_.id.str(), json::serialize(value), WriteCondition::always(),
                           [this](std::error_code error, std::uint64_t) {
                               isRegistering_ = false;
@@ -319,18 +435,23 @@
         }
         const auto value = parseJson(object.value).value_or(json::value());
         std::string address;
+        std::string changes;
         PeerGateway peer;
         JsonReader reader(value);
         reader.read("peer", address);
+        reader.read("changes", changes);
         reader.readId("zone", peer.zone);
         peer.address = Endpoint::parse(address);
+        peer.changes = Endpoint::parse(changes);
         peer.id = MemberId(object.name.substr(std::min(DaemonPrefix.size(), object.name.size())));
         if (reader.isGood() && peer.address.isValid() && peer.address != settings_.peer) {
             peers.push_back(std::move(peer));
         }
     }
-    daemons_ = static_cast<unsigned>(peers.size()) + 1;
-    serverWatcher_->setPause(lease_.isHeld(clock_.now()) ? MinServerPause : std::clamp(daemons_ * ServerPausePerDaemon, MinServerPause, MaxServerPause));
+    plan_ = RelayPlan(settings_.id, settings_.zone, peers);
+    const bool isHolder = lease_.isHeld(clock_.now());
+    serverWatcher_->setPause(plan_.isDirect() || isHolder ? MinServerPause : RelayedServerPause);
+    serverWatcher_->setWait(plan_.isDirect() ? DirectWait : RelayedWait);
     hooks_.onPeers(std::move(peers));
 }
 
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -3,6 +3,8 @@
 #include "config/gateway_settings.h"
 #include "fleet/control_lease.h"
 #include "fleet/replica_controller.h"
+#include "gateway/change_feed.h"
+#include "gateway/change_follower.h"
 #include "gateway/fleet_platform.h"
 #include "gateway/kind_watcher.h"
 #include "gateway/relay_plan.h"
@@ -30,6 +32,8 @@
 
     FleetControl(boost::asio::io_context &io, const GatewaySettings &settings, const Clock &clock, std::uint64_t process, FleetPlatform &platform, Hooks hooks);
 
+    /// Opens the address for notices of changes.
+    std::error_code open(const Endpoint &changes);
     void start();
     /// Requests have come to some daemon.
     void noteTraffic();
@@ -44,7 +48,13 @@
     }
 
 private:
-    void startWatchers();
+    KindWatcher::Hooks configHooks();
+    KindWatcher::Hooks serverHooks();
+    void updateWatching(TimePoint now);
+    bool mustWatch(TimePoint now) const;
+    void followNotice(const ChangeNotice &notice);
+    void publishChanges(std::span<const ObjectEvent> events);
+    void sendHeartbeat(TimePoint now);
     void applyConfig(const StoredObject &object);
     void applyServers(std::span<const StoredObject> objects);
     void applyServerEvents(std::span<const ObjectEvent> events);
@@ -55,6 +65,7 @@
     void pollDaemons();
     void applyDaemons(const ListResult &list);
     void registerSelf();
+    void keepLease(TimePoint now);
     void readLease();
     void writeLease(const ControlLease::Write &write);
     void driveReplicas();
@@ -71,7 +82,14 @@
 
     std::shared_ptr<KindWatcher> configWatcher_;
     std::shared_ptr<KindWatcher> serverWatcher_;
+    RelayPlan plan_;
+    ChangeFeed feed_;
+    ChangeFollower follower_;
+    std::uint64_t publishedRevision_ = 0; // up to which the gateways of the zone were told the changes
+    TimePoint publishedAt_{};
+    TimePoint watchedAt_{}; // last answer to a list or watch of servers
     ServiceConfigPtr config_;
+    std::uint64_t configVersion_ = 0; // object version of the configuration
     ServerRegistry registry_;
     bool hasServers_ = false;
     bool isConfigChanged_ = false;
@@ -88,7 +106,6 @@
     bool isRegistering_ = false;
     bool isPolling_ = false;
     TimePoint polledAt_{};
-    unsigned daemons_ = 1; // that the store lists, this one included
     bool isStopping_ = false;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -96,6 +96,7 @@
     bool openAll()
     {
         return opened("callers", settings_.callers, server_.listen(settings_.callers)) && opened("peer", settings_.peer, exchange_.open(settings_.peer))
+            && opened("changes", settings_.changes, fleet_.open(settings_.changes))
             && opened("readiness", settings_.readiness, status_.listenReadiness(settings_.readiness, context_.names.readinessPath))
             && opened("metrics", settings_.metrics, status_.listenMetrics(settings_.metrics));
     }
--- a/src/gateway/kind_watcher.cpp
+++ b/src/gateway/kind_watcher.cpp
@@ -12,6 +12,8 @@
 /// Pause after the first failure, doubled for each further one.
 constexpr Duration FirstRetry = milliseconds(150);
 constexpr unsigned MaxDoublings = 2;
+/// The changes that fill a gap are there already.
+constexpr Duration CatchUpWait = milliseconds(1);
 
 }
 
@@ -42,6 +44,42 @@
     next();
 }
 
+bool KindWatcher::suspend()
+{
+    if (isListDue()) {
+        return false;
+    }
+    isSuspended_ = true;
+    ++generation_;
+    timer_.cancel();
+    return true;
+}
+
+void KindWatcher::resume()
+{
+    isSuspended_ = false;
+    isCatchingUp_ = false;
+    ++generation_;
+    timer_.cancel();
+    next();
+}
+
+void KindWatcher::catchUp()
+{
+    if (isSuspended_ && !isListing_ && !std::exchange(isCatchingUp_, true)) {
+        next();
+    }
+}
+
+void KindWatcher::advance(std::uint64_t revision)
+{
+    revision_ = std::max(revision_, revision);
+    // The answer to a call that is out may be older than what was learnt.
+    if (std::exchange(isCatchingUp_, false)) {
+        ++generation_;
+    }
+}
+
 void KindWatcher::next()
 {
     if (isStopped_) {
@@ -49,7 +87,7 @@
     }
     if (mustList_) {
         list();
-    } else {
+    } else if (!isSuspended_ || isCatchingUp_) {
         watch();
     }
 }
@@ -57,10 +95,13 @@
 void KindWatcher::list()
 {
     mustList_ = false;
+    isListing_ = true;
     store_.list(settings_.kind, [self = shared_from_this(), generation = generation_](std::error_code error, ListResult result) {
         if (generation != self->generation_) {
             return;
         }
+        self->isListing_ = false;
+        self->isCatchingUp_ = false;
         if (error) {
             self->mustList_ = true;
             self->fail(error);
@@ -79,7 +120,7 @@
 
 void KindWatcher::watch()
 {
-    store_.watch(settings_.kind, revision_, settings_.wait,
+    store_.watch(settings_.kind, revision_, isSuspended_ ? CatchUpWait : settings_.wait,
                  [self = shared_from_this(), generation = generation_](std::error_code error, const WatchResult &result) {
                      if (generation != self->generation_) {
                          return;
@@ -88,6 +129,7 @@
                          self->fail(error);
                          return;
                      }
+                     self->isCatchingUp_ = false;
                      self->failures_ = 0;
                      self->mustList_ = self->mustList_ || result.mustList;
                      if (result.mustList) {
--- a/src/gateway/kind_watcher.h
+++ b/src/gateway/kind_watcher.h
@@ -16,6 +16,8 @@
 {
 
 /// Follows all objects of one kind: lists them once, then waits for changes. Lists anew when the history is gone.
+///
+/// While it is suspended, changes come from elsewhere; it calls the store only to fill a gap.
 class KindWatcher : public std::enable_shared_from_this<KindWatcher>
 {
 public:
@@ -36,11 +38,37 @@
     void stop();
     /// Lists again at once; the answer to a waiting call that is out is left unused.
     void listAgain();
+    /// Ends waiting for changes. Returns false while a list is due or under way, which comes first.
+    bool suspend();
+    /// Waits for changes again, from the revision that is known.
+    void resume();
+    /// While suspended: asks the store once for the changes since the known revision.
+    void catchUp();
+    /// While suspended: changes up to @p revision were learnt elsewhere.
+    void advance(std::uint64_t revision);
+    bool isSuspended() const
+    {
+        return isSuspended_;
+    }
+    /// Whether a list is under way or will be tried again.
+    bool isListDue() const
+    {
+        return mustList_ || isListing_;
+    }
+    /// Of the store; all changes up to it are known.
+    std::uint64_t revision() const
+    {
+        return revision_;
+    }
     /// Changes the pause after a change, from the next change on.
     void setPause(Duration pause)
     {
         settings_.pause = pause;
     }
+    void setWait(Duration wait)
+    {
+        settings_.wait = wait;
+    }
     /// Lists that were applied; rises with each.
     std::uint64_t lists() const
     {
@@ -61,6 +89,9 @@
     std::uint64_t revision_ = 0;
     std::uint64_t lists_ = 0;
     bool mustList_ = true;
+    bool isListing_ = false;
+    bool isSuspended_ = false;
+    bool isCatchingUp_ = false;
     bool isStopped_ = false;
     unsigned failures_ = 0;
     std::uint64_t generation_ = 0; // of the chain of calls; answers to calls of an earlier one are left unused
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/load_exchange.h"
 
+#include "gateway/datagrams.h"
 #include "observe/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -59,16 +60,8 @@
 
 std::error_code LoadExchange::open(const Endpoint &endpoint)
 {
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(endpoint.address, error);
+    const auto error = openDatagramSocket(socket_, endpoint);
     if (!error) {
-        socket_.open(asio::ip::udp::v4(), error);
-    }
-    if (!error) {
-        socket_.bind({address, endpoint.port}, error);
-    }
-    if (!error) {
-        socket_.non_blocking(true, error);
         asio::co_spawn(context_.io, receiveAll(), asio::detached);
         asio::co_spawn(context_.io, sendAll(), asio::detached);
     }
@@ -183,11 +176,7 @@
         return;
     }
     for (const auto &receiver : receivers) {
-        boost::system::error_code ignored; // a report that is lost is replaced by the next
-        const auto address = asio::ip::make_address(receiver.address.address, ignored);
-        if (!ignored) {
-            socket_.send_to(asio::buffer(bytes), {address, receiver.address.port}, 0, ignored);
-        }
+        sendDatagram(socket_, bytes, receiver.address);
     }
 }
 
--- a/src/gateway/relay_plan.h
+++ b/src/gateway/relay_plan.h
@@ -13,15 +13,16 @@
     MemberId id;
     ZoneId zone;
     Endpoint address; // of its load reports
+    Endpoint changes; // where it takes notices of changes in the store
 
     bool operator==(const PeerGateway &) const = default;
 };
 
-/// Who tells whom about load, so that the cost of a gateway does not grow with the fleet.
+/// Who tells whom about load and about changes in the store, so that the cost of a gateway does not grow with the fleet.
 ///
 /// In a small fleet every gateway reports to every other. In a larger one each availability zone has two relays, chosen by rendezvous
 /// hashing: gateways report to the relays of their zone; a relay sends the zone's sum to the gateways of its zone and to the relays of
-/// the others, and passes the sums of other zones on.
+/// the others, and passes the sums of other zones on. The relays also watch the store and pass its changes to the gateways of their zone.
 class RelayPlan
 {
 public:
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -1,5 +1,6 @@
 #include "gateway/server_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carawaypoint
@@ -12,7 +13,21 @@
 
 bool ServerRegistry::mustDefer(TimePoint now) const
 {
-    return isFailing_ || (returnedAt_ && now - *returnedAt_ < settings_.returnTime);
+    return isFailing_ || now < deferredUntil_ || (returnedAt_ && now - *returnedAt_ < settings_.returnTime);
+}
+
+void ServerRegistry::deferUntil(TimePoint end)
+{
+    deferredUntil_ = std::max(deferredUntil_, end);
+}
+
+Duration ServerRegistry::unsettledTime(TimePoint now) const
+{
+    if (isFailing_) {
+        return settings_.returnTime;
+    }
+    const auto ownEnd = returnedAt_ ? *returnedAt_ + settings_.returnTime : TimePoint{};
+    return std::max(Duration{}, std::max(ownEnd, deferredUntil_) - now);
 }
 
 void ServerRegistry::replaceAll(ServerMap servers, TimePoint now)
--- a/src/gateway/server_registry.h
+++ b/src/gateway/server_registry.h
@@ -34,6 +34,10 @@
     void remove(const VmId &id, TimePoint now);
     void noteStoreFailure();
     void noteStoreAnswer(TimePoint now);
+    /// Removals are deferred until @p end at least, since another gateway found the store away.
+    void deferUntil(TimePoint end);
+    /// For which removals are deferred yet.
+    Duration unsettledTime(TimePoint now) const;
     /// Applies removals that are due. Returns whether the list changed since the last call.
     bool takeChange(TimePoint now);
 
@@ -51,6 +55,7 @@
     std::set<VmId> removals_; // deferred
     std::map<VmId, TimePoint> unlistedSince_;
     bool isFailing_ = false;
+    TimePoint deferredUntil_{};
     std::optional<TimePoint> returnedAt_; // when the store last answered again after a failure
     bool isChanged_ = false;
 };
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -366,7 +366,7 @@
 TEST(GatewaySettings, namesTheKeyThatIsMissingOrFaulty)
 {
     const auto result = parseGatewaySettings("[process]\nid = g\nzone = a\n[listen]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n"
-                                             "metrics = 127.0.0.1:3\npeer = nowhere\n[store]\naddress = 127.0.0.1:5\n",
+                                             "metrics = 127.0.0.1:3\npeer = nowhere\nchanges = 127.0.0.1:6\n[store]\naddress = 127.0.0.1:5\n",
                                              "g.ini");
     ASSERT_EQ(result.faults.size(), 1U);
     EXPECT_THAT(result.faults.front().toString(), HasSubstr("g.ini:8: listen.peer"));
@@ -375,7 +375,7 @@
 TEST(GatewaySettings, readsEveryKey)
 {
     const auto result = parseGatewaySettings("[process]\nid = g\nzone = a\nmax_descriptors = 500\n[listen]\ncallers = 127.0.0.1:1\n"
-                                             "readiness = 127.0.0.1:2\nmetrics = 127.0.0.1:3\npeer = 127.0.0.1:4\n[store]\n"
+                                             "readiness = 127.0.0.1:2\nmetrics = 127.0.0.1:3\npeer = 127.0.0.1:4\nchanges = 127.0.0.1:6\n[store]\n"
                                              "address = 127.0.0.1:5\n[serving]\ndrain_time = 8s\nstall_time = 6000ms\nretry_share = 0.3\n"
                                              "retry_slack = 77\nretry_window = 12s\n[log]\nlevel = debug\n",
                                              "g.ini");
@@ -385,6 +385,7 @@
     EXPECT_EQ(result.settings.readiness.port, 2);
     EXPECT_EQ(result.settings.metrics.port, 3);
     EXPECT_EQ(result.settings.peer.port, 4);
+    EXPECT_EQ(result.settings.changes.port, 6);
     EXPECT_EQ(result.settings.store.port, 5);
     EXPECT_EQ(result.settings.drainTime, seconds(8));
     EXPECT_EQ(result.settings.stallTime, seconds(6));
