--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -1,13 +1,10 @@
 #include "gateway/fleet_control.h"
 
-#include "core/json_reader.h"
 #include "core/result_code.h"
+#include "gateway/fleet_records.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <algorithm>
 #include <chrono>
 
@@ -17,8 +14,6 @@
 namespace
 {
 
-namespace json = boost::json;
-
 constexpr Duration TickInterval = milliseconds(150);
 /// Between reads of the lease and of the daemons' addresses.
 constexpr Duration PollInterval = seconds(1);
@@ -46,23 +41,6 @@
 constexpr std::string_view LeaseName = "replica-controller";
 constexpr std::string_view DaemonPrefix = "daemon.";
 
-std::string encodeLease(const LeaseRecord &record)
-{
-    return json::serialize(json::object{{"holder", record.holder.str()}, {"process", record.process}, {"term", record.term}, {"renewals", record.renewals}});
-}
-
-LeaseRecord decodeLease(std::string_view text)
-{
-    LeaseRecord record;
-    const auto value = parseJson(text).value_or(json::value());
-    JsonReader reader(value);
-    reader.readId("holder", record.holder);
-    reader.read("process", record.process);
-    reader.read("term", record.term);
-    reader.read("renewals", record.renewals, true);
-    return record;
-}
-
 }
 
 FleetControl::FleetControl(boost::asio::io_context &io,
@@ -402,9 +380,8 @@
 void FleetControl::registerSelf()
 {
     isRegistering_ = true;
-    const json::object value{
-        {"peer", settings_.peer.toString()}, {"changes", settings_.changes.toString()}, {"zone", settings_.zone.str()}, {"process", process_}};
-    platform_.store().put(platform_.daemonKind(), std::string(DaemonPrefix) + settings_.id.str(), json::serialize(value), WriteCondition::always(),
+    const PeerGateway self{settings_.id, settings_.zone, settings_.peer, settings_.changes};
+    platform_.store().put(platform_.daemonKind(), std::string(DaemonPrefix) + settings_.id.str(), encodeGateway(self, process_), WriteCondition::always(),
                           [this](std::error_code error, std::uint64_t) {
                               isRegistering_ = false;
                               // A conflict means that another write of this daemon's own record came between; it is written again.
@@ -436,19 +413,10 @@
             lease_.noteObject(decodeLease(object.value), object.version, clock_.now());
             continue;
         }
-        const auto value = parseJson(object.value).value_or(json::value());
-        std::string address;
-        std::string changes;
-        PeerGateway peer;
-        JsonReader reader(value);
-        reader.read("peer", address);
-        reader.read("changes", changes);
-        reader.readId("zone", peer.zone);
-        peer.address = Endpoint::parse(address);
-        peer.changes = Endpoint::parse(changes);
-        peer.id = MemberId(object.name.substr(std::min(DaemonPrefix.size(), object.name.size())));
-        if (reader.isGood() && peer.address.isValid() && peer.address != settings_.peer) {
-            peers.push_back(std::move(peer));
+        auto peer = decodeGateway(object.value);
+        if (peer && peer->address != settings_.peer) {
+            peer->id = MemberId(object.name.substr(std::min(DaemonPrefix.size(), object.name.size())));
+            peers.push_back(*std::move(peer));
         }
     }
     plan_ = RelayPlan(settings_.id, settings_.zone, peers);
--- /dev/null
+++ b/src/gateway/forward_relay.cpp
@@ -0,0 +1,188 @@
+// The part of ForwardCall that reads answers of backend servers and passes them on to the caller.
+
+#include "gateway/forward_call.h"
+#include "gateway/http_fields.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace carawaypoint
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+/// A caller that takes no bytes for this long is given up.
+constexpr Duration CallerWriteTimeout = seconds(5);
+/// Servers close idle connections after a time that they may state in whole seconds; kept connections end before it.
+constexpr double DefaultKeepAliveSeconds = 4;
+constexpr double KeepAlivePart = 0.75;
+
+}
+
+asio::awaitable<bool> ForwardCall::readBody(BackendLink &link, Response &response, std::string &body)
+{
+    std::array<char, 8192> space{};
+    while (!response.is_done()) {
+        response.get().body().data = space.data();
+        response.get().body().size = space.size();
+        const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
+        body.append(space.data(), space.size() - response.get().body().size);
+        if ((error && error != http::error::need_buffer) || body.size() > MaxAnswerBytes) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+void ForwardCall::keepOrClose(BackendLink &link, Response &response)
+{
+    link.connection->unlimit();
+    // Bytes after a whole answer belong to no request.
+    if (!response.keep_alive() || response.need_eof() || link.connection->buffer().size() > 0 || link.connection->isInterrupted()) {
+        link.connection->close();
+        return;
+    }
+    const double stated = keepAliveSeconds(response.get(), DefaultKeepAliveSeconds);
+    const auto keepAlive = Duration(static_cast<std::int64_t>(stated * KeepAlivePart * 1e6));
+    context_.pool.release(link, keepAlive);
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::relayWhole(BackendLink &link, Response &response)
+{
+    std::string body;
+    if (!co_await readBody(link, response, body)) {
+        link.connection->close();
+        co_return AttemptEnd::Failed;
+    }
+    const auto status = response.get().result_int();
+    keepOrClose(link, response);
+    if (status >= 500 && route_->isRepeatable() && sent_ < route_->maxAttempts && context_.retries.take(service_, context_.now())) {
+        mayHaveRun_ = true;
+        context_.book.noteFailure(VmId(entry_.server), context_.now());
+        context_.log.writeStep(entry_.id, "request sent again", "the server answered with an error", entry_.server, context_.now());
+        const auto *target = chooseTarget();
+        if (target != nullptr && !isCallerGone_) {
+            co_return co_await attempt(*target);
+        }
+    }
+    // These statuses say that the request has not run, which is not known here.
+    if (isPromise(status)) {
+        co_return AttemptEnd::Failed;
+    }
+    entry_.status = status;
+    entry_.code = status < 500 ? ResultCode::Ok : ResultCode::BackendBadAnswer;
+    entry_.reason = status < 500 ? "answered" : "the server answered with an error";
+    http::fields fields;
+    copyEndToEndFields(response.get(), fields);
+    auto text = headerText(fields, status, response.get().reason(), isCallerKept());
+    const bool hasNoBody = request_.method() == http::verb::head || status == 204 || status == 304;
+    if (hasNoBody) {
+        const auto length = response.get()[http::field::content_length];
+        text += length.empty() ? "\r\n" : "Content-Length: " + std::string(length) + "\r\n\r\n";
+    } else {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    const bool isWritten = co_await writeCaller(std::move(text));
+    co_return isWritten ? AttemptEnd::Answered : AttemptEnd::CallerLost;
+}
+
+/// Takes the whole events after the last one that was passed on.
+std::string ForwardCall::collectEvents(EventSplitter &splitter)
+{
+    std::string events;
+    while (const auto event = splitter.next()) {
+        if (event->id && lastEvent_ && *event->id <= *lastEvent_) {
+            continue;
+        }
+        if (event->id) {
+            lastEvent_ = event->id;
+        }
+        events += event->bytes;
+    }
+    return events;
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::relayStream(BackendLink &link, Response &response)
+{
+    EventSplitter splitter;
+    std::array<char, 8192> space{};
+    const VmId server(entry_.server);
+    while (!response.is_done()) {
+        response.get().body().data = space.data();
+        response.get().body().size = space.size();
+        const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
+        const auto count = space.size() - response.get().body().size;
+        if (count > 0) {
+            context_.book.noteProgress(server);
+            context_.book.noteRead(server, std::exchange(unreadTokens_, 0));
+            splitter.feed({space.data(), count});
+            const auto events = collectEvents(splitter);
+            bool isWritten = true;
+            if (!events.empty()) {
+                isWritten = co_await writeEvents(events, response);
+            }
+            if (!isWritten) {
+                link.connection->close();
+                co_return AttemptEnd::CallerLost;
+            }
+        }
+        if (error && error != http::error::need_buffer) {
+            link.connection->close();
+            co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
+        }
+    }
+    keepOrClose(link, response);
+    const std::string rest(splitter.rest());
+    bool isWritten = true;
+    if (!rest.empty() || !isHeaderSent_) {
+        isWritten = co_await writeEvents(rest, response);
+    }
+    if (isWritten) {
+        isWritten = co_await writeCaller("0\r\n\r\n");
+    }
+    if (!isWritten) {
+        co_return AttemptEnd::CallerLost;
+    }
+    failWith(ResultCode::Ok, "stream complete");
+    co_return AttemptEnd::Answered;
+}
+
+asio::awaitable<bool> ForwardCall::writeEvents(std::string_view bytes, const Response &response)
+{
+    std::string text;
+    if (!isHeaderSent_) {
+        http::fields fields;
+        copyEndToEndFields(response.get(), fields);
+        entry_.status = response.get().result_int();
+        text = headerText(fields, entry_.status, response.get().reason(), isCallerKept()) + "Transfer-Encoding: chunked\r\n\r\n";
+        isHeaderSent_ = true;
+    }
+    if (!bytes.empty()) {
+        if (!hasEvents_) {
+            entry_.firstEvent = context_.now() - receivedAt_;
+        }
+        hasEvents_ = true;
+        text += chunkOf(bytes);
+    }
+    co_return co_await writeCaller(std::move(text));
+}
+
+asio::awaitable<bool> ForwardCall::writeCaller(std::string bytes)
+{
+    caller_->limit(CallerWriteTimeout);
+    const auto [error, count] = co_await asio::async_write(caller_->socket(), asio::buffer(bytes), UseResult);
+    caller_->unlimit();
+    if (error) {
+        mustCloseCaller_ = true;
+        failWith(ResultCode::CallerClosed, "the answer could not be delivered");
+    }
+    co_return !error;
+}
+
+}
--- a/src/gateway/http_fields.cpp
+++ b/src/gateway/http_fields.cpp
@@ -46,4 +46,35 @@
     return seconds;
 }
 
+std::string headerText(const http::fields &fields, unsigned status, std::string_view reason, bool isKept)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text += reason;
+    text += "\r\n";
+    for (const auto &field : fields) {
+        text += field.name_string();
+        text += ": ";
+        text += field.value();
+        text += "\r\n";
+    }
+    text += isKept ? "" : "Connection: close\r\n";
+    return text;
+}
+
+std::string chunkOf(std::string_view bytes)
+{
+    std::array<char, 18> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    std::string chunk(size.data(), end);
+    chunk += "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    return chunk;
+}
+
+bool isPromise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }
--- a/src/gateway/http_fields.h
+++ b/src/gateway/http_fields.h
@@ -17,4 +17,13 @@
 /// The seconds of `Keep-Alive: timeout=N`; @p otherwise when there are none.
 double keepAliveSeconds(const boost::beast::http::fields &fields, double otherwise);
 
+/// The head of an answer up to its last field; the caller adds the fields of the body's length and the empty line.
+std::string headerText(const boost::beast::http::fields &fields, unsigned status, std::string_view reason, bool isKept);
+
+/// @p bytes as one chunk of a body in chunks.
+std::string chunkOf(std::string_view bytes);
+
+/// Whether the status promises that the request has not run and never will.
+bool isPromise(unsigned status);
+
 }
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/change_feed.h"
 #include "gateway/change_follower.h"
+#include "gateway/fleet_records.h"
 #include "gateway/kind_watcher.h"
 #include "objects/memory_object_store.h"
 #include "tests/support/test_sockets.h"
@@ -219,4 +220,19 @@
     EXPECT_EQ(revisions, std::vector<std::uint64_t>{2});
 }
 
+// Guards against a gateway of an earlier version that is left out of the exchange of load, and against records of other writers.
+TEST(FleetRecords, gatewaysAndLeasesAreReadBack)
+{
+    const PeerGateway gateway{MemberId(), ZoneId("a"), {"10.0.0.1", 7}, {"10.0.0.1", 8}};
+    EXPECT_EQ(decodeGateway(encodeGateway(gateway, 5)), gateway);
+    EXPECT_FALSE(decodeGateway(R"({"peer":"10.0.0.1:7","zone":"a"})")->changes.isValid());
+    EXPECT_FALSE(decodeGateway(R"({"zone":"a"})"));
+    EXPECT_FALSE(decodeGateway("[]"));
+    const auto lease = decodeLease(encodeLease({MemberId("g"), 3, 4, 5}));
+    EXPECT_EQ(lease.holder.str(), "g");
+    EXPECT_EQ(lease.process, 3U);
+    EXPECT_EQ(lease.term, 4U);
+    EXPECT_EQ(lease.renewals, 5U);
+}
+
 }
