--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -164,8 +164,9 @@
     }
     for (const auto &[key, spares] : free) {
         const auto &service = config_->services.at(key.first);
+        const auto count = spares.size();
         const bool canCompose = std::any_of(service.engine->models.begin(), service.engine->models.end(),
-                                            [&spares](const ModelSpec &model) { return model.size > 0 && model.size <= spares.size(); });
+                                            [count](const ModelSpec &model) { return model.size > 0 && model.size <= count; });
         if (!canCompose) {
             stageSpares(service, key.second, spares, servers, now);
         }
--- a/tests/gateway/replica_choice_load_test.cpp
+++ b/tests/gateway/replica_choice_load_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <map>
 #include <queue>
+#include <unordered_map>
 
 namespace carawaypoint
 {
@@ -120,6 +122,7 @@
                 }
             }
             std::vector<BackendLoad> loads;
+            loads.reserve(sums.size());
             for (const auto &[server, load] : sums) {
                 loads.push_back(load);
             }
