Tell changes of other kinds from a gap; end a follower's deferral with the relay's notices

Causes, found by reading: the store's one revision rises with each renewal of the lease, so that a relay's watch without events looked like a gap and cost each follower a call a second; and a follower whose own last call failed deferred removals until its next call, up to 5 s later, beyond the time in which a leaving server may get requests. Tests failed first: ChangeFollower.changesOfOtherKindsAreNoGap.

--- a/src/gateway/change_follower.cpp
+++ b/src/gateway/change_follower.cpp
@@ -9,7 +9,7 @@
     if (notice.toRevision <= revision) {
         return Step::None;
     }
-    return notice.fromRevision <= revision && notice.isComplete() ? Step::Apply : Step::CatchUp;
+    return notice.fromRevision <= revision && notice.isComplete ? Step::Apply : Step::CatchUp;
 }
 
 }
--- a/src/gateway/change_notice.capnp
+++ b/src/gateway/change_notice.capnp
@@ -18,5 +18,6 @@
     toRevision @1 :UInt64;
     configVersion @2 :UInt64; # object version of the configuration that the sender has
     unsettledMs @3 :UInt32; # for which removals may still be undone, since the store was away
-    changes @4 :List(ServerChange); # empty although the revisions differ: too many for a datagram
+    changes @4 :List(ServerChange);
+    isComplete @5 :Bool; # changes holds all that happened between the revisions; false when they are too many for a datagram
 }
--- a/src/gateway/change_notice.capnp.h
+++ b/src/gateway/change_notice.capnp.h
@@ -186,6 +186,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::carawaypoint::wire::ServerChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline bool getIsComplete() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -233,6 +235,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ServerChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ServerChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline bool getIsComplete();
+  inline void setIsComplete(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -447,6 +452,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ChangeNotice::Reader::getIsComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool ChangeNotice::Builder::getIsComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void ChangeNotice::Builder::setIsComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-std::vector<std::byte> encodeWith(const ChangeNotice &notice, std::span<const ObjectEvent> changes)
+std::vector<std::byte> encodeWith(const ChangeNotice &notice, std::span<const ObjectEvent> changes, bool isComplete)
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::ChangeNotice>();
@@ -25,6 +25,7 @@
     root.setConfigVersion(notice.configVersion);
     const auto unsettled = std::chrono::duration_cast<milliseconds>(notice.unsettledTime).count();
     root.setUnsettledMs(static_cast<std::uint32_t>(std::max<std::int64_t>(0, unsettled)));
+    root.setIsComplete(isComplete);
     auto list = root.initChanges(static_cast<unsigned>(changes.size()));
     for (unsigned i = 0; i < list.size(); ++i) {
         list[i].setName(changes[i].object.name);
@@ -44,8 +45,8 @@
 
 std::vector<std::byte> encodeNotice(const ChangeNotice &notice)
 {
-    auto bytes = encodeWith(notice, notice.changes);
-    return bytes.size() <= MaxNoticeBytes ? bytes : encodeWith(notice, {});
+    auto bytes = encodeWith(notice, notice.changes, notice.isComplete);
+    return bytes.size() <= MaxNoticeBytes ? bytes : encodeWith(notice, {}, false);
 }
 
 std::optional<ChangeNotice> decodeNotice(std::span<const std::byte> bytes)
@@ -59,6 +60,7 @@
         notice.toRevision = root.getToRevision();
         notice.configVersion = root.getConfigVersion();
         notice.unsettledTime = milliseconds(root.getUnsettledMs());
+        notice.isComplete = root.getIsComplete();
         for (const auto change : root.getChanges()) {
             ObjectEvent event;
             event.object.name = change.getName().cStr();
--- a/src/gateway/change_notice.h
+++ b/src/gateway/change_notice.h
@@ -18,12 +18,8 @@
     std::uint64_t toRevision = 0;
     std::uint64_t configVersion = 0; // object version of the configuration that the sender has
     Duration unsettledTime{}; // for which removals may still be undone, since the store was away
-    std::vector<ObjectEvent> changes; // all after fromRevision, in order
-
-    bool isComplete() const
-    {
-        return toRevision == fromRevision || !changes.empty();
-    }
+    std::vector<ObjectEvent> changes; // after fromRevision, in order; none when only objects of other kinds changed
+    bool isComplete = true; // false when the changes were too many for a datagram
 };
 
 /// Largest datagram that is sent; a notice that needs more goes without its changes.
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -148,6 +148,8 @@
     if (!serverWatcher_->isSuspended()) {
         return;
     }
+    // The relay has answers from the store; what this gateway's own last call met is over.
+    registry_.noteStoreAnswer(now);
     if (notice.unsettledTime.count() > 0) {
         registry_.deferUntil(now + notice.unsettledTime);
     }
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -22,7 +22,7 @@
 
 ChangeNotice makeNotice(std::uint64_t from, std::uint64_t to)
 {
-    ChangeNotice notice{from, to, 3, {}, {}};
+    ChangeNotice notice{from, to, 3, {}, {}, true};
     if (to > from) {
         notice.changes.push_back(makeEvent("x", to));
     }
@@ -100,7 +100,14 @@
     EXPECT_EQ(follower.note(makeNotice(11, 12), 9, Start), ChangeFollower::Step::CatchUp);
     EXPECT_EQ(follower.note(makeNotice(12, 12), 9, Start), ChangeFollower::Step::CatchUp);
     // Too many changes for a datagram.
-    EXPECT_EQ(follower.note({9, 20, 3, {}, {}}, 9, Start), ChangeFollower::Step::CatchUp);
+    EXPECT_EQ(follower.note({9, 20, 3, {}, {}, false}, 9, Start), ChangeFollower::Step::CatchUp);
+}
+
+// Guards against a call of every follower for each renewal of the lease: the store counts changes of all kinds in one revision.
+TEST(ChangeFollower, changesOfOtherKindsAreNoGap)
+{
+    ChangeFollower follower;
+    EXPECT_EQ(follower.note({9, 20, 3, {}, {}, true}, 9, Start), ChangeFollower::Step::Apply);
 }
 
 // Guards against a gateway that knows no changes any more because both relays of its zone are gone.
@@ -115,7 +122,7 @@
 
 TEST(ChangeNotice, readsBackWhatItWrote)
 {
-    ChangeNotice notice{5, 9, 4, milliseconds(700), {makeEvent("x", 7), makeEvent("y", 9)}};
+    ChangeNotice notice{5, 9, 4, milliseconds(700), {makeEvent("x", 7), makeEvent("y", 9)}, true};
     notice.changes[1].isRemoved = true;
     const auto read = decodeNotice(encodeNotice(notice));
     ASSERT_TRUE(read);
@@ -127,19 +134,20 @@
     EXPECT_EQ(read->changes[0].object.value, notice.changes[0].object.value);
     EXPECT_EQ(read->changes[0].object.version, 7U);
     EXPECT_TRUE(read->changes[1].isRemoved);
+    EXPECT_TRUE(read->isComplete);
     EXPECT_FALSE(decodeNotice(std::vector<std::byte>(7, std::byte{0xff})));
 }
 
 // Guards against a notice that is cut off, or never sent, because many servers changed at once.
 TEST(ChangeNotice, tooManyChangesGoWithoutTheirContent)
 {
-    ChangeNotice notice{5, 2000, 4, {}, {}};
+    ChangeNotice notice{5, 2000, 4, {}, {}, true};
     for (unsigned number = 0; number < 1000; ++number) {
         notice.changes.push_back(makeEvent("server-" + std::to_string(number) + std::string(40, 'x'), 6 + number));
     }
     const auto bytes = encodeNotice(notice);
     EXPECT_LE(bytes.size(), MaxNoticeBytes);
-    EXPECT_FALSE(decodeNotice(bytes)->isComplete());
+    EXPECT_FALSE(decodeNotice(bytes)->isComplete);
 }
 
 // Guards against calls of a gateway that follows the store through a relay.
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -277,6 +277,22 @@
     EXPECT_THAT(registry.servers(), IsEmpty());
 }
 
+// Guards against a leaving server that is kept for too long by a gateway that follows a relay: its own last call failed, and it makes no
+// other for seconds.
+TEST(ServerRegistry, deferralsOfARelayEndWithIt)
+{
+    ServerRegistry registry;
+    registry.replaceAll({{VmId("x"), makeServer("x")}}, Start);
+    EXPECT_EQ(registry.unsettledTime(Start), Duration{});
+    registry.deferUntil(Start + milliseconds(700));
+    EXPECT_EQ(registry.unsettledTime(Start), milliseconds(700));
+    registry.takeChange(Start);
+    registry.remove(VmId("x"), Start);
+    EXPECT_FALSE(registry.takeChange(Start + milliseconds(600)));
+    EXPECT_TRUE(registry.takeChange(Start + milliseconds(800)));
+    EXPECT_THAT(registry.servers(), IsEmpty());
+}
+
 // Guards against a replica that is torn down although its member is only cut off from the store, and against requests to a head whose
 // registration is gone.
 TEST(ServerRegistry, lapsedMembersStayKnownButHeadsDoNot)
