--- a/src/gateway/backend_book.cpp
+++ b/src/gateway/backend_book.cpp
@@ -7,6 +7,14 @@
 namespace carawaypoint
 {
 
+void BackendLoad::add(const BackendLoad &other)
+{
+    requests += other.requests;
+    unreadTokens += other.unreadTokens;
+    isStalled = isStalled || other.isStalled;
+    isProgressing = isProgressing || other.isProgressing;
+}
+
 BackendBook::BackendBook(BackendBookSettings settings)
     : settings_(settings)
 {
@@ -154,11 +162,7 @@
     peerSums_.clear();
     for (const auto &[peer, entry] : peers_) {
         for (const auto &load : entry.loads) {
-            auto &sum = peerSums_[load.server];
-            sum.requests += load.requests;
-            sum.unreadTokens += load.unreadTokens;
-            sum.isStalled = sum.isStalled || load.isStalled;
-            sum.isProgressing = sum.isProgressing || load.isProgressing;
+            peerSums_[load.server].add(load);
         }
     }
 }
--- a/src/gateway/backend_book.h
+++ b/src/gateway/backend_book.h
@@ -61,6 +61,9 @@
     bool isStalled = false;
     bool isProgressing = false; // some stream had an event just before
 
+    /// Adds what another gateway has at the same server.
+    void add(const BackendLoad &other);
+
     bool operator==(const BackendLoad &) const = default;
 };
 
--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/change_notice.h"
 
 #include "gateway/change_notice.capnp.h"
+#include "gateway/packed_message.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 
 namespace carawaypoint
 {
@@ -33,12 +33,7 @@
         list[i].setIsRemoved(changes[i].isRemoved);
         list[i].setValue(changes[i].object.value);
     }
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    std::vector<std::byte> result(bytes.size());
-    std::memcpy(result.data(), bytes.begin(), bytes.size());
-    return result;
+    return packMessage(message);
 }
 
 }
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -41,10 +41,7 @@
     for (const auto &load : loads) {
         auto &sum = sums[load.server];
         sum.server = load.server;
-        sum.requests += load.requests;
-        sum.unreadTokens += load.unreadTokens;
-        sum.isStalled = sum.isStalled || load.isStalled;
-        sum.isProgressing = sum.isProgressing || load.isProgressing;
+        sum.add(load);
     }
 }
 
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -1,13 +1,12 @@
 #include "gateway/load_report_codec.h"
 
 #include "gateway/load_report.capnp.h"
+#include "gateway/packed_message.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
-#include <cstring>
-
 namespace carawaypoint
 {
 
@@ -28,12 +27,7 @@
         loads[i].setIsStalled(report.loads[i].isStalled);
         loads[i].setIsProgressing(report.loads[i].isProgressing);
     }
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    std::vector<std::byte> result(bytes.size());
-    std::memcpy(result.data(), bytes.begin(), bytes.size());
-    return result;
+    return packMessage(message);
 }
 
 std::optional<GatewayLoadReport> decodeReport(std::span<const std::byte> bytes)
