Bound the time that callers state by their route's timeout

A caller that stated a huge deadline made all others of its route look as if they came back after a refusal, so that they were admitted above the limit for new requests.

Removes what nobody reads: the time to open a replica, the header with the server at fault, two counts of connections.

--- a/src/fleet/service_config.h
+++ b/src/fleet/service_config.h
@@ -66,7 +66,6 @@
     double loadsPerSecond = 1; // that may start at the weight store, over the fleet
     double readTokensPerSecond = 0; // of prompts, by a replica with pace 1; 0 when not stated
     unsigned loadsAtOnce = 1; // more of them slow each other down
-    Duration openTime{milliseconds(300)}; // from the order until the replica serves
 
     const ModelSpec *findModel(const ModelId &id) const;
 };
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -94,13 +94,4 @@
     std::erase_if(idle_, [](const auto &entry) { return entry.second.empty(); });
 }
 
-std::size_t BackendPool::idleConnections() const
-{
-    std::size_t count = 0;
-    for (const auto &[server, kept] : idle_) {
-        count += kept.size();
-    }
-    return count;
-}
-
 }
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -33,7 +33,6 @@
     /// Keeps the connection for the next request, for as long as the server said.
     void release(BackendLink link, Duration keepAlive);
     void closeExpired();
-    std::size_t idleConnections() const;
 
 private:
     struct Idle {
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -32,8 +32,6 @@
 /// Waiting time for callers when nothing serves the model, and when all places are taken.
 constexpr Duration RetryWhenNoneServes = milliseconds(900);
 constexpr Duration RetryWhenFull = milliseconds(400);
-/// A caller that states this much less time than others on its route has spent it on an earlier try.
-constexpr Duration ReturnedAfter = milliseconds(150);
 
 std::int64_t inMilliseconds(Duration time)
 {
@@ -72,9 +70,7 @@
 {
     const auto stated = parseNumber(request_[context_.names.deadline]);
     if (stated) {
-        auto &longest = context_.longestDeadlines[route_->name];
-        longest = std::max<Duration>(longest, milliseconds(*stated));
-        isReturned_ = milliseconds(*stated) + ReturnedAfter < longest;
+        isReturned_ = context_.returnedCallers.isReturned(route_->name, milliseconds(*stated), route_->timeout);
     }
     callerDeadline_ = receivedAt_ + (stated ? Duration(milliseconds(*stated)) : Duration(hours(1)));
     deadline_ = std::min(callerDeadline_, receivedAt_ + route_->timeout);
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,11 +6,11 @@
 #include "gateway/backend_pool.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_allowance.h"
+#include "gateway/returned_callers.h"
 #include "gateway/wire_names.h"
 
 #include <boost/asio/io_context.hpp>
 
-#include <map>
 #include <random>
 #include <string>
 
@@ -39,7 +39,7 @@
     BackendBook book;
     RetryAllowance retries;
     RequestLog log;
-    std::map<std::string, Duration> longestDeadlines; // that callers of a route have stated
+    ReturnedCallers returnedCallers;
     unsigned requestsInProgress = 0;
     std::uint64_t requestsBegun = 0;
     bool isDraining = false;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -30,10 +30,6 @@
     void drain();
     void stopAccepting();
     void remove(GatewaySession &session);
-    std::size_t connections() const
-    {
-        return sessions_.size();
-    }
 
 private:
     asio::awaitable<void> acceptAll();
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -15,7 +15,6 @@
     std::string signature; // header of an answer: a backend server made it
     std::string model; // header: model that the request is for
     std::string tokenUsage; // header: tokens of the prompt and at most of the answer
-    std::string serverAtFault; // header of a refusal: the member that is at fault
     std::string keyScheme; // scheme of the Authorization header
     std::string readinessPath;
 };
