Read the lease once a second at most, and only where a gateway may lead

At the start each reads it, and 76 of 77 writes of it conflict.

A list of daemons shows the lease, so it needs no read of its own; a read that fails is repeated after a second; a gateway that is no relay competes only after it has watched for 5 s; the first lease of a fleet is taken after 1.2 s, when the relays are known. Followers list the daemons each 15 s, and nobody more often than each 3 s while the store does not answer.

--- a/src/fleet/control_lease.h
+++ b/src/fleet/control_lease.h
@@ -56,6 +56,11 @@
     {
         return record_;
     }
+    /// Of the object in the store; 0 when none is known.
+    std::uint64_t version() const
+    {
+        return version_;
+    }
     bool mustRead() const
     {
         return mustRead_;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -18,7 +18,14 @@
 /// Between reads of the lease and of the daemons' addresses.
 constexpr Duration PollInterval = seconds(1);
 /// Gateways that follow the store through relays use the list of daemons only to know their relays.
-constexpr Duration FollowerPollInterval = seconds(5);
+constexpr Duration FollowerPollInterval = seconds(15);
+/// While the store does not answer; the waiting calls for changes find out when it does again.
+constexpr Duration UnreachablePollInterval = seconds(3);
+/// For which a gateway that is no relay watches the store before it competes for the lease: relays take it within this time.
+constexpr Duration FollowerPatience = seconds(5);
+/// Before the first lease of a fleet is taken. By then the gateways have registered and know which of them are relays.
+constexpr Duration MinFirstLeaseDelay = milliseconds(1200);
+constexpr Duration FirstLeaseSpread = milliseconds(500);
 /// Changes of servers within the pause are fetched together. The holder of the lease acts on them and waits for the least time.
 constexpr Duration MinServerPause = milliseconds(120);
 /// Of relays: two of each zone watch the store, so that their calls do not grow with the fleet. With the way to the gateways of the
@@ -38,9 +45,13 @@
 constexpr Duration TermSettleTime = milliseconds(600);
 constexpr Duration UnlistedProbeInterval = seconds(2);
 constexpr Duration StopTimeout = milliseconds(600);
-constexpr std::string_view LeaseName = "replica-controller";
 constexpr std::string_view DaemonPrefix = "daemon.";
 
+Duration firstLeaseDelay(const MemberId &gateway)
+{
+    return MinFirstLeaseDelay + Duration(std::hash<std::string>()(gateway.str()) % static_cast<std::size_t>(FirstLeaseSpread.count()));
+}
+
 }
 
 FleetControl::FleetControl(boost::asio::io_context &io,
@@ -56,7 +67,12 @@
     , hooks_(std::move(hooks))
     , tickTimer_(io)
     , feed_(io)
-    , lease_(settings.id, process)
+    , lease_(platform.store(),
+             clock,
+             platform.daemonKind(),
+             ControlLease(settings.id, process),
+             LeaseKeeper::Settings{.firstDelay = firstLeaseDelay(settings.id)},
+             [this](std::error_code error) { noteStoreResult("lease", error); })
     , controller_(ReplicaControllerSettings{.stallTime = settings.stallTime})
 {
     configWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(), KindWatcher::Settings{.kind = platform.configKind()}, configHooks());
@@ -119,7 +135,7 @@
 
 bool FleetControl::mustWatch(TimePoint now) const
 {
-    return plan_.isDirect() || plan_.isRelay() || lease_.isHeld(now) || !follower_.isFed(now);
+    return plan_.isDirect() || plan_.isRelay() || lease_.isHeld() || !follower_.isFed(now);
 }
 
 /// Watches the store, or follows it through the relays of the zone.
@@ -134,6 +150,7 @@
             configWatcher_->resume();
         }
     } else {
+        watchingSince_ = now;
         configWatcher_->resume();
         serverWatcher_->resume();
     }
@@ -193,6 +210,7 @@
 
 void FleetControl::start()
 {
+    watchingSince_ = clock_.now();
     configWatcher_->start();
     serverWatcher_->start();
     tick();
@@ -259,6 +277,7 @@
     registry_.noteStoreAnswer(now);
     if (!std::exchange(isStoreReachable_, true)) {
         logLine(LogLevel::Info, "store regained", {{"call", what}});
+        polledAt_ = {};
     }
 }
 
@@ -354,12 +373,11 @@
     updateWatching(now);
     sendHeartbeat(now);
     const bool isWatching = !serverWatcher_->isSuspended();
-    if (now - polledAt_ >= (isWatching ? PollInterval : FollowerPollInterval) && !isPolling_) {
+    if (now - polledAt_ >= pollInterval() && !isPolling_) {
         pollDaemons();
     }
-    // Only gateways that watch the store compete for the lease, so that its lapse does not make all of them write at once.
-    if (isWatching) {
-        keepLease(now);
+    if (isWatching && mayLead(now)) {
+        lease_.keep();
     }
     driveReplicas();
     tickTimer_.expires_after(TickInterval);
@@ -370,13 +388,18 @@
     });
 }
 
-void FleetControl::keepLease(TimePoint now)
+Duration FleetControl::pollInterval() const
 {
-    if (lease_.mustRead()) {
-        readLease();
-    } else if (const auto write = lease_.takeWrite(now)) {
-        writeLease(*write);
+    if (serverWatcher_->isSuspended()) {
+        return FollowerPollInterval;
     }
+    return isStoreReachable_ ? PollInterval : UnreachablePollInterval;
+}
+
+/// Whether this gateway competes for the lease. Not all of a large fleet do, so that its lapse does not make all write at once.
+bool FleetControl::mayLead(TimePoint now) const
+{
+    return plan_.isDirect() || plan_.isRelay() || lease_.isHeld() || now - watchingSince_ >= FollowerPatience;
 }
 
 void FleetControl::registerSelf()
@@ -410,9 +433,10 @@
 void FleetControl::applyDaemons(const ListResult &list)
 {
     std::vector<PeerGateway> peers;
+    const StoredObject *lease = nullptr;
     for (const auto &object : list.objects) {
-        if (object.name == LeaseName) {
-            lease_.noteObject(decodeLease(object.value), object.version, clock_.now());
+        if (object.name == LeaseKeeper::ObjectName) {
+            lease = &object;
             continue;
         }
         auto peer = decodeGateway(object.value);
@@ -421,8 +445,9 @@
             peers.push_back(*std::move(peer));
         }
     }
+    lease_.noteListed(lease);
     plan_ = RelayPlan(settings_.id, settings_.zone, peers);
-    const bool isHolder = lease_.isHeld(clock_.now());
+    const bool isHolder = lease_.isHeld();
     serverWatcher_->setPause(plan_.isDirect() || isHolder ? MinServerPause : RelayedServerPause);
     serverWatcher_->setWait(plan_.isDirect() ? DirectWait : RelayedWait);
     // While the store is away, gateways whose relays will tell them of its return do not ask for it as often.
@@ -432,40 +457,10 @@
     hooks_.onPeers(std::move(peers));
 }
 
-void FleetControl::readLease()
-{
-    if (std::exchange(isLeaseReading_, true)) {
-        return;
-    }
-    platform_.store().fetch(platform_.daemonKind(), LeaseName, [this](std::error_code error, const StoredObject &object) {
-        isLeaseReading_ = false;
-        if (error == ResultCode::ObjectNotFound) {
-            lease_.noteObject({}, 0, clock_.now());
-        } else if (!error) {
-            lease_.noteObject(decodeLease(object.value), object.version, clock_.now());
-        }
-        noteStoreResult("lease", error == ResultCode::ObjectNotFound ? std::error_code{} : error);
-    });
-}
-
-void FleetControl::writeLease(const ControlLease::Write &write)
-{
-    const auto condition = write.expectedVersion == 0 ? WriteCondition::ifAbsent() : WriteCondition::ifVersion(write.expectedVersion);
-    platform_.store().put(platform_.daemonKind(), LeaseName, encodeLease(write.record), condition, [this](std::error_code error, std::uint64_t version) {
-        if (error) {
-            logLine(LogLevel::Warning, "lease write failed", {{"error", error.message()}});
-            lease_.noteWriteFailed();
-        } else {
-            lease_.noteWritten(version);
-        }
-        noteStoreResult("lease", error == ResultCode::VersionConflict ? std::error_code{} : error);
-    });
-}
-
 void FleetControl::driveReplicas()
 {
     const auto now = clock_.now();
-    if (!lease_.isHeld(now) || isStopping_) {
+    if (!lease_.isHeld() || isStopping_) {
         if (std::exchange(drivenTerm_, 0) != 0) {
             logLine(LogLevel::Warning, "lease of the replica controller lost", {{"term", lease_.term()}});
         }
@@ -516,25 +511,9 @@
     }
     configWatcher_->stop();
     serverWatcher_->stop();
-    const auto write = lease_.release(clock_.now());
-    if (!write) {
-        done();
-        return;
-    }
     tickTimer_.expires_after(StopTimeout);
-    auto finish = std::make_shared<std::function<void()>>(std::move(done));
-    tickTimer_.async_wait([finish](const boost::system::error_code &) {
-        if (*finish) {
-            std::exchange(*finish, nullptr)();
-        }
-    });
-    platform_.store().put(platform_.daemonKind(), LeaseName, encodeLease(write->record), WriteCondition::ifVersion(write->expectedVersion),
-                          [this](std::error_code error, std::uint64_t) {
-                              if (error) {
-                                  logLine(LogLevel::Warning, "lease could not be given up; it lapses", {{"error", error.message()}});
-                              }
-                              tickTimer_.cancel();
-                          });
+    tickTimer_.async_wait([done = std::move(done)](const boost::system::error_code &) { done(); });
+    lease_.release([this] { tickTimer_.cancel(); });
 }
 
 }
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "config/gateway_settings.h"
-#include "fleet/control_lease.h"
 #include "fleet/replica_controller.h"
 #include "gateway/change_feed.h"
 #include "gateway/change_follower.h"
 #include "gateway/fleet_platform.h"
 #include "gateway/kind_watcher.h"
+#include "gateway/lease_keeper.h"
 #include "gateway/relay_plan.h"
 #include "gateway/server_registry.h"
 
@@ -65,9 +65,8 @@
     void pollDaemons();
     void applyDaemons(const ListResult &list);
     void registerSelf();
-    void keepLease(TimePoint now);
-    void readLease();
-    void writeLease(const ControlLease::Write &write);
+    Duration pollInterval() const;
+    bool mayLead(TimePoint now) const;
     void driveReplicas();
     void probeUnlisted(TimePoint now);
     void probe(const VmId &server, const Endpoint &address, std::uint64_t startedAt, std::string_view reason);
@@ -88,6 +87,7 @@
     std::uint64_t publishedRevision_ = 0; // up to which the gateways of the zone were told the changes
     TimePoint publishedAt_{};
     TimePoint watchedAt_{}; // last answer to a list or watch of servers
+    TimePoint watchingSince_{}; // start of the present time in which this gateway watches the store itself
     ServiceConfigPtr config_;
     std::uint64_t configVersion_ = 0; // object version of the configuration
     ServerRegistry registry_;
@@ -95,13 +95,12 @@
     bool isConfigChanged_ = false;
     bool isStoreReachable_ = true;
 
-    ControlLease lease_;
+    LeaseKeeper lease_;
     ReplicaController controller_;
     std::uint64_t drivenTerm_ = 0; // term that the controller works in; 0 when it does not
     std::uint64_t listsAtTerm_ = 0;
     TimePoint termBegunAt_{};
     std::map<VmId, TimePoint> probedAt_; // unlisted servers
-    bool isLeaseReading_ = false;
     bool isRegistered_ = false;
     bool isRegistering_ = false;
     bool isPolling_ = false;
--- /dev/null
+++ b/src/gateway/lease_keeper.cpp
@@ -0,0 +1,99 @@
+#include "gateway/lease_keeper.h"
+
+#include "core/result_code.h"
+#include "gateway/fleet_records.h"
+#include "observe/log.h"
+
+#include <utility>
+
+namespace carawaypoint
+{
+
+LeaseKeeper::LeaseKeeper(ObjectStore &store, const Clock &clock, std::string kind, ControlLease lease, Settings settings, ResultHook onResult)
+    : store_(store)
+    , clock_(clock)
+    , kind_(std::move(kind))
+    , lease_(std::move(lease))
+    , settings_(settings)
+    , onResult_(std::move(onResult))
+    , startedAt_(clock.now())
+{
+}
+
+void LeaseKeeper::noteListed(const StoredObject *object)
+{
+    isKnown_ = true;
+    if (object != nullptr) {
+        lease_.noteObject(decodeLease(object->value), object->version, clock_.now());
+    } else {
+        lease_.noteObject({}, 0, clock_.now());
+    }
+}
+
+bool LeaseKeeper::isDelayed() const
+{
+    return lease_.version() == 0 && clock_.now() - startedAt_ < settings_.firstDelay;
+}
+
+void LeaseKeeper::keep()
+{
+    if (!isKnown_ || isDelayed()) {
+        return;
+    }
+    if (lease_.mustRead()) {
+        read();
+    } else if (const auto due = lease_.takeWrite(clock_.now())) {
+        write(*due);
+    }
+}
+
+void LeaseKeeper::read()
+{
+    if (isReading_ || clock_.now() - readAt_ < settings_.readRetry) {
+        return;
+    }
+    isReading_ = true;
+    readAt_ = clock_.now();
+    store_.fetch(kind_, ObjectName, [this](std::error_code error, const StoredObject &object) {
+        isReading_ = false;
+        const bool isAbsent = error == ResultCode::ObjectNotFound;
+        if (isAbsent) {
+            noteListed(nullptr);
+        } else if (!error) {
+            noteListed(&object);
+        }
+        onResult_(isAbsent ? std::error_code() : error);
+    });
+}
+
+void LeaseKeeper::write(const ControlLease::Write &write)
+{
+    const auto condition = write.expectedVersion == 0 ? WriteCondition::ifAbsent() : WriteCondition::ifVersion(write.expectedVersion);
+    store_.put(kind_, ObjectName, encodeLease(write.record), condition, [this](std::error_code error, std::uint64_t version) {
+        if (error) {
+            logLine(LogLevel::Warning, "lease write failed", {{"error", error.message()}});
+            lease_.noteWriteFailed();
+        } else {
+            lease_.noteWritten(version);
+        }
+        onResult_(error == ResultCode::VersionConflict ? std::error_code() : error);
+    });
+}
+
+void LeaseKeeper::release(std::function<void()> done)
+{
+    const auto write = lease_.release(clock_.now());
+    if (!write) {
+        done();
+        return;
+    }
+    store_.put(kind_, ObjectName, encodeLease(write->record), WriteCondition::ifVersion(write->expectedVersion),
+               [done = std::move(done)](std::error_code error, std::uint64_t) {
+                   if (error) {
+                       logLine(LogLevel::Warning, "lease could not be given up; it lapses", {{"error", error.message()}});
+                   }
+                   done();
+               });
+}
+
+}
