Tell members that are left over from an ended replica to leave it

The new holder does not see the head, so it waits for the time in which a head stalls, 9 s in all, before it uses them. Ruled out: replicas that really end (their heads were told to leave and answered seconds before), late registrations.

Members of an ended replica that nothing else takes are told to leave it after a second. They keep what they have loaded, so a later join is as fast.

--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -98,6 +98,7 @@
     noteListed(servers, now);
     noteModels(servers);
     adoptUnknown(servers, now);
+    bound_ = boundServers();
     for (auto &[id, plan] : plans_) {
         update(plan, servers, now);
     }
@@ -346,10 +347,19 @@
 
 void ReplicaController::updateRetired(ReplicaPlan &plan, const ServerMap &servers, TimePoint now)
 {
-    const bool isReported = std::any_of(plan.members.begin(), plan.members.end(), [&](const PlannedMember &member) {
+    bool isReported = false;
+    for (auto &member : plan.members) {
         const auto found = servers.find(member.id);
-        return found != servers.end() && reports(found->second, plan);
-    });
+        if (found == servers.end() || !reports(found->second, plan)) {
+            continue;
+        }
+        isReported = true;
+        // The next holder of the lease cannot tell a member that was left over from one whose head may serve.
+        const bool isDue = now - plan.phaseSince >= settings_.releaseDelay && now - member.orderedAt >= settings_.reorderInterval;
+        if (isDue && !bound_.contains(member.id)) {
+            order(OrderKind::Leave, plan, member, now);
+        }
+    }
     // An order of this plan may still be on its way, so that a member reports it later.
     if (!isReported && now - plan.phaseSince > settings_.stallTime) {
         plan.members.clear();
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -25,6 +25,7 @@
     Duration forgetTime{seconds(10)}; // without any member in the list, after which an ending plan is dropped
     Duration silenceMemory{seconds(8)}; // for which a server that did not answer a probe is not used, unless it starts again
     Duration drainTime{milliseconds(3500)}; // for requests in progress at a replica with a leaving member
+    Duration releaseDelay{seconds(1)}; // before members of a replica that has ended are told to leave it, unless another takes them
     Duration joinSlack{seconds(4)}; // beyond the time that a join should take
     Duration settleTime{milliseconds(600)}; // before the first request: without a new server, after which replicas are formed
     Duration maxSettleTime{seconds(4)}; // before the first request: after which replicas are formed from what is there
@@ -106,6 +107,8 @@
     void composeAll(const ServerMap &servers, TimePoint now);
     using DomainKey = std::pair<ServiceId, FabricDomainId>;
     using FreeByDomain = std::map<DomainKey, std::vector<FreeServer>>;
+    /// Members of replicas that have not ended.
+    std::set<VmId> boundServers() const;
     FreeByDomain findFree(const ServerMap &servers, TimePoint now) const;
     bool retireForWarmServers(const FreeByDomain &free, const ServerMap &servers, TimePoint now);
     bool composeOne(FreeByDomain::value_type &domain, const ServerMap &servers, TimePoint now);
@@ -128,6 +131,7 @@
     TimePoint firstServersAt_{};
     TimePoint lastServerAt_{};
     Plans plans_;
+    std::set<VmId> bound_; // members of replicas that had not ended at the begin of decide()
     std::map<VmId, Staging> stagings_;
     std::map<VmId, Silence> silent_;
     std::map<VmId, TimePoint> listedSince_;
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -19,7 +19,7 @@
 
 }
 
-ReplicaController::FreeByDomain ReplicaController::findFree(const ServerMap &servers, TimePoint now) const
+std::set<VmId> ReplicaController::boundServers() const
 {
     std::set<VmId> bound;
     for (const auto &[id, plan] : plans_) {
@@ -30,6 +30,12 @@
             bound.insert(member.id);
         }
     }
+    return bound;
+}
+
+ReplicaController::FreeByDomain ReplicaController::findFree(const ServerMap &servers, TimePoint now) const
+{
+    const auto bound = boundServers();
     FreeByDomain free;
     for (const auto &[id, server] : servers) {
         const auto service = config_->services.find(server.service);
--- a/tests/fleet/replica_controller_test.cpp
+++ b/tests/fleet/replica_controller_test.cpp
@@ -429,6 +429,31 @@
     }
 }
 
+// Guards against a new holder of the lease that takes survivors of a replica which ended long ago for members of one that may serve,
+// and keeps them out of use until a head would have stalled.
+TEST(ReplicaController, aNewHolderFindsSurvivorsOfEndedReplicasFree)
+{
+    ControllerRun run(1);
+    run.run(seconds(60));
+    run.beginTraffic();
+    const auto head = run.headOf(Large);
+    const auto survivor = run.memberOf(head, 5);
+    for (const auto &id : run.servers.ids()) {
+        const auto &state = run.servers.state(id);
+        const bool isLost = state.loadedModel != Small && id != head && id != survivor;
+        if (isLost) {
+            run.servers.fail(id, ServerFault::Dark, run.now);
+        }
+    }
+    run.run(seconds(15));
+    EXPECT_FALSE(run.servers.state(survivor).membership.has_value());
+    run.restart(2);
+    run.servers.addServer(run.servers.state(head).domain);
+    run.run(seconds(4));
+    EXPECT_TRUE(run.servers.state(survivor).membership.has_value()) << "the three free servers form a small replica";
+    EXPECT_THAT(run.servers.breaches(), IsEmpty());
+}
+
 // Guards against orders that are repeated for ever to a domain that has gone with all its servers.
 TEST(ReplicaController, dropsPlansWithoutAnyListedMember)
 {
