Ask refused callers to come back after the peak

Peaks last for seconds, and callers with 6 to 8 s wait for up to a third of that. Ruled out: places that are free meanwhile (all replicas were full).

Retry-After is 2.4 s now when all places are taken; after a fault of one server it stays 0.4 s, since others serve the request.

The holder of the lease reads it again after 0.25 s, as it would lose it.

--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/http_fields.h"
 #include "gateway/request_parser.h"
+#include "gateway/retry_after.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -29,9 +30,6 @@
 constexpr double RepeatAfterPart = 0.3;
 constexpr unsigned MaxUnsent = 3;
 constexpr unsigned MaxForeignAnswers = 2;
-/// Waiting time for callers when nothing serves the model, and when all places are taken.
-constexpr Duration RetryWhenNoneServes = milliseconds(900);
-constexpr Duration RetryWhenFull = milliseconds(400);
 
 std::int64_t inMilliseconds(Duration time)
 {
@@ -232,7 +230,7 @@
     if (end == AttemptEnd::NotSent) {
         ++unsent_;
         failWith(mayHaveRun_ ? ResultCode::ReplicaLost : ResultCode::NoServerAvailable, "no connection to the server");
-        retryAfter_ = RetryWhenFull;
+        retryAfter_ = RetryAfterFault;
         return unsent_ < MaxUnsent;
     }
     if (remaining() < MinAttemptTime) {
@@ -246,7 +244,7 @@
     }
     if (end == AttemptEnd::NotRun) {
         failWith(mayHaveRun_ ? ResultCode::ReplicaLost : ResultCode::BackendRefused, "the server did not take the request");
-        retryAfter_ = RetryWhenFull;
+        retryAfter_ = RetryAfterFault;
     } else {
         failWith(ResultCode::ReplicaLost, isMoving_ ? "the server is stalled" : "the server failed");
     }
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -49,7 +49,7 @@
 
 void LeaseKeeper::read()
 {
-    if (isReading_ || clock_.now() - readAt_ < settings_.readRetry) {
+    if (isReading_ || clock_.now() - readAt_ < (isHeld() ? settings_.holderReadRetry : settings_.readRetry)) {
         return;
     }
     isReading_ = true;
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -21,6 +21,7 @@
 
     struct Settings {
         Duration readRetry{seconds(1)}; // between reads while the store does not answer
+        Duration holderReadRetry{milliseconds(250)}; // as above for the holder, which loses the lease if it cannot renew it
         Duration firstDelay{}; // before a lease that nobody has held is taken, so that not all gateways of a new fleet write at once
     };
     using ResultHook = std::function<void(std::error_code)>;
