Log the room and the expected requests of each choice

A request may be refused although the load that is shown is below the limit, since each gateway admits only the part that fits. The line of a request gives the two figures that decided it.

--- a/src/gateway/backend_book.cpp
+++ b/src/gateway/backend_book.cpp
@@ -294,10 +294,10 @@
     const double admittedPart = drift.begun <= room ? 1 : room / drift.begun;
     const bool isAdmitted = stage == RequestStage::Begun || std::bernoulli_distribution(admittedPart)(random);
     if (candidates.empty() || !isAdmitted) {
-        return {nullptr, leastLoad >= 0, std::max(0.0, leastLoad)};
+        return {nullptr, leastLoad >= 0, std::max(0.0, leastLoad), room, drift.begun};
     }
     const auto chosen = drift.begun > 1 ? pickByLevel(std::move(candidates), drift.begun, random) : pickLowest(candidates);
-    return {chosen.target, false, chosen.load};
+    return {chosen.target, false, chosen.load, room, drift.begun};
 }
 
 }
--- a/src/gateway/backend_book.h
+++ b/src/gateway/backend_book.h
@@ -104,7 +104,9 @@
     struct Choice {
         const ServingTarget *target = nullptr; // null when none is left or all are full
         bool isFull = false; // some target is healthy, but none has room
-        double load = 0; // of the target, or the least load when all are full
+        double load = 0; // of the target, or the least load when all are full; without requests that have ended since the counts
+        double room = 0; // requests that all targets can take
+        double expected = 0; // requests of all gateways that compete for it
     };
     /// A target with little load for its slots, healthy ones first. @p excluded are not chosen.
     ///
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -167,6 +167,8 @@
     const auto drift = context_.countAge == Duration{} ? CountDrift() : context_.demand.drift(pool, context_.countAge, now);
     const auto choice = context_.book.choose(targets, context_.settings.zone, excluded_, now, context_.random, stage(), drift);
     entry_.load = choice.load;
+    entry_.room = choice.room;
+    entry_.expected = choice.expected;
     if (choice.target != nullptr) {
         return choice.target;
     }
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -67,6 +67,8 @@
              {"replica", entry.replica},
              {"attempts", entry.attempts},
              {"load", entry.load},
+             {"room", entry.room},
+             {"expected", entry.expected},
              {"config_version", entry.configVersion},
              {"first_event_ms", inMilliseconds(entry.firstEvent)},
              {"total_ms", inMilliseconds(entry.total)}});
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -23,6 +23,8 @@
     std::string replica;
     unsigned attempts = 0;
     double load = 0; // of the last server when it was chosen, in requests for each slot
+    double room = 0; // requests that the servers of the pool could take then
+    double expected = 0; // requests of all gateways that competed for that room; zero where counts are fresh
     std::uint64_t configVersion = 0;
     Duration total{};
     Duration firstEvent{}; // zero when there was none
