Adopt replicas that close as such, and release heads that a former holder may open

Trace: the head was leaving and was told to close at 10.43; the holder of the lease was killed at 10.9 and took the lease again for term 2 at 11.73. The new term took every complete replica whose head is not open for one that had never served, found the head leaving and freed the members at once. Ruled out: a late registration (it said closing), an order carried out late, a second holder.

A closing head's replica is adopted as draining. A replica that is adopted before it serves may have been told to open by the former holder, with the order still on its way: when it is given up, its head leaves first.

The simulated servers close over two seconds now, count a closing head as busy, and report a head that opens after a member went elsewhere: both new tests fail without the change.

Streams that have begun are not cut for prompts that wait at a replica.

--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -27,6 +27,19 @@
             .orderedAt = now};
 }
 
+/// The phase of a complete replica whose head reports @p state.
+PlanPhase adoptedPhase(MembershipState state)
+{
+    switch (state) {
+    case MembershipState::Open:
+        return PlanPhase::Serving;
+    case MembershipState::Closing:
+        return PlanPhase::Draining;
+    default:
+        return PlanPhase::Joining;
+    }
+}
+
 bool reports(const BackendServer &server, const ReplicaPlan &plan)
 {
     return server.membership && server.membership->replica == plan.id && server.membership->epoch == plan.epoch;
@@ -158,10 +171,10 @@
     }
     const auto *head = view.head();
     const bool isComplete = model != nullptr && view.members.size() == model->size;
-    if (head != nullptr && head->membership->state == MembershipState::Open) {
-        plan.phase = isComplete ? PlanPhase::Serving : PlanPhase::Ending;
-    } else {
-        plan.phase = isComplete ? PlanPhase::Joining : PlanPhase::Ending;
+    plan.isAdopted = true;
+    plan.phase = PlanPhase::Ending;
+    if (isComplete && head != nullptr) {
+        plan.phase = adoptedPhase(head->membership->state);
     }
     plan.graceUntil = now + settings_.returnTime;
     return plan;
@@ -234,8 +247,7 @@
     for (auto &member : plan.members) {
         const auto *server = findServer(servers, member);
         if (server == nullptr || server->isLeaving || server->isUnlisted || (member.isSeen && !reports(*server, plan))) {
-            // The head was never told to open, so no one serves under this epoch.
-            enter(plan, PlanPhase::Retired, now, "a member was lost before the replica served");
+            abandon(plan, now, "a member was lost before the replica served");
             return;
         }
         const bool hasJoined = reports(*server, plan);
@@ -253,7 +265,7 @@
     }
     const Duration usual = model == nullptr ? Duration{} : isLoading ? 4 * model->loadTime : model->stagedLoadTime;
     if (now - plan.phaseSince > usual + settings_.joinSlack) {
-        enter(plan, PlanPhase::Retired, now, "members did not become ready in time");
+        abandon(plan, now, "members did not become ready in time");
     }
 }
 
@@ -397,6 +409,13 @@
     return server.membership->epoch > plan.epoch || (reports(server, plan) && server.membership->state == MembershipState::Broken);
 }
 
+/// Ends a replica that this holder of the lease has not told to open. A former holder may have, so the head of an adopted one has to
+/// leave first.
+void ReplicaController::abandon(ReplicaPlan &plan, TimePoint now, std::string_view reason)
+{
+    enter(plan, plan.isAdopted ? PlanPhase::Ending : PlanPhase::Retired, now, reason);
+}
+
 void ReplicaController::enter(ReplicaPlan &plan, PlanPhase phase, TimePoint now, std::string_view reason)
 {
     plan.phase = phase;
@@ -441,7 +460,7 @@
     }
     const bool isRefused = outcome == OrderOutcome::Stale || outcome == OrderOutcome::WrongServer || outcome == OrderOutcome::ConnectionRefused;
     if (order.kind == OrderKind::Join && plan.phase == PlanPhase::Joining && isRefused) {
-        enter(plan, PlanPhase::Retired, now, "a member refused to join");
+        abandon(plan, now, "a member refused to join");
         return;
     }
 }
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -98,6 +98,7 @@
     bool isWholeAgain(const ReplicaPlan &plan, const ServerMap &servers) const;
     bool isForgotten(ReplicaPlan &plan, const ServerMap &servers, TimePoint now) const;
     bool isHeadInert(const ReplicaPlan &plan, const ServerMap &servers) const;
+    void abandon(ReplicaPlan &plan, TimePoint now, std::string_view reason);
     void enter(ReplicaPlan &plan, PlanPhase phase, TimePoint now, std::string_view reason);
 
     void orderJoin(ReplicaPlan &plan, PlannedMember &member, TimePoint now);
--- a/src/fleet/replica_plan.h
+++ b/src/fleet/replica_plan.h
@@ -39,6 +39,7 @@
     ModelId model{};
     std::vector<PlannedMember> members{}; // by rank; a member that was never seen has an empty id
     PlanPhase phase = PlanPhase::Joining;
+    bool isAdopted = false; // made from what servers report, so orders of a former holder of the lease may be on their way
     TimePoint phaseSince{};
     TimePoint orderedAt{}; // last order of the phase to the head
     TimePoint listedAt{}; // while ending: when a member was last listed
--- a/src/gateway/backend_book.cpp
+++ b/src/gateway/backend_book.cpp
@@ -280,7 +280,8 @@
         }
         const double load = loadOf(target) * (1 - drift.endedPart);
         leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
-        const double room = (fullLoad(target, stage) - load - settings_.unreadRoom * readSeconds(target)) * target.slots;
+        const double unread = stage == RequestStage::Begun ? 0 : settings_.unreadRoom * readSeconds(target);
+        const double room = (fullLoad(target, stage) - load - unread) * target.slots;
         if (room <= 0) {
             continue;
         }
--- a/tests/fleet/replica_controller_test.cpp
+++ b/tests/fleet/replica_controller_test.cpp
@@ -454,6 +454,42 @@
     EXPECT_THAT(run.servers.breaches(), IsEmpty());
 }
 
+// Guards against a new holder of the lease that takes a replica which closes, as a member leaves, for one that never served, and joins
+// its members elsewhere while the head still has requests.
+TEST(ReplicaController, aNewHolderWaitsForAReplicaThatCloses)
+{
+    ControllerRun run;
+    run.run(seconds(60));
+    run.beginTraffic();
+    const auto head = run.headOf(Small);
+    run.servers.setLeaving(head);
+    run.run(milliseconds(300));
+    ASSERT_EQ(run.servers.state(head).membership->state, MembershipState::Closing);
+    run.restart(2);
+    run.run(seconds(8));
+    EXPECT_THAT(run.servers.breaches(), IsEmpty());
+    EXPECT_EQ(run.servers.servingReplicas(Small), 2U);
+}
+
+// Guards against a new holder that reuses members at once although the former holder's order to open may still be on its way.
+TEST(ReplicaController, aNewHolderReleasesTheHeadOfAReplicaThatWasReady)
+{
+    ControllerRun run;
+    run.run(seconds(60));
+    run.beginTraffic();
+    const auto head = run.headOf(Small);
+    const auto membership = *run.servers.state(head).membership;
+    run.servers.carryOut({OrderKind::Close, head, {}, membership.replica, membership.epoch, ModelId(), {}}, run.now);
+    run.servers.advance(run.now += SimulatedServers::CloseTime);
+    ASSERT_EQ(run.servers.state(head).membership->state, MembershipState::Ready);
+    run.servers.setLeaving(head);
+    run.restart(2);
+    run.run(milliseconds(600));
+    run.servers.carryOut({OrderKind::Open, head, {}, membership.replica, membership.epoch, ModelId(), {}}, run.now);
+    run.run(seconds(10));
+    EXPECT_THAT(run.servers.breaches(), IsEmpty());
+}
+
 // Guards against orders that are repeated for ever to a domain that has gone with all its servers.
 TEST(ReplicaController, dropsPlansWithoutAnyListedMember)
 {
--- a/tests/fleet/support/simulated_servers.cpp
+++ b/tests/fleet/support/simulated_servers.cpp
@@ -106,10 +106,14 @@
         break;
     case OrderKind::Close:
         server.opensAt.reset();
-        membership->state = MembershipState::Ready;
+        if (membership->state == MembershipState::Open) {
+            membership->state = MembershipState::Closing;
+            server.closedAt = now + CloseTime;
+        }
         break;
     default:
         server.opensAt.reset();
+        server.closedAt.reset();
         server.joinedAt.reset();
         membership.reset();
         server.record.loadedModel = ModelId();
@@ -144,6 +148,7 @@
     server.joining = order.model;
     server.joinedAt = now + time;
     server.opensAt.reset();
+    server.closedAt.reset();
     server.stalledAt.reset();
     const auto rank = static_cast<unsigned>(std::find(order.members.begin(), order.members.end(), order.server) - order.members.begin());
     server.record.membership = ReplicaMembership{order.replica, order.epoch, rank, MembershipState::Joining};
@@ -160,8 +165,9 @@
     const auto &head = servers_.at(server.members.front());
     const auto &membership = head.record.membership;
     const bool isHeadInReplica = membership && membership->replica == server.record.membership->replica && membership->epoch == server.record.membership->epoch;
-    if (isHeadInReplica && head.fault != ServerFault::Dark && membership->state == MembershipState::Open) {
-        breaches_.push_back(order.server.str() + " joins " + order.replica.str() + " while " + membership->replica.str() + " is open");
+    const bool isActive = isHeadInReplica && (membership->state == MembershipState::Open || membership->state == MembershipState::Closing);
+    if (isActive && head.fault != ServerFault::Dark) {
+        breaches_.push_back(order.server.str() + " joins " + order.replica.str() + " while " + membership->replica.str() + " has requests");
     }
 }
 
@@ -172,6 +178,10 @@
         if (!wasReady_.contains({replica, member})) {
             breaches_.push_back(replica.str() + " opens although " + member.str() + " was never ready");
         }
+        const auto &membership = servers_.at(member).record.membership;
+        if (membership && membership->replica != replica) {
+            breaches_.push_back(replica.str() + " opens although " + member.str() + " has joined " + membership->replica.str());
+        }
     }
 }
 
@@ -206,6 +216,10 @@
             server.stagedAt.reset();
             server.record.stagedModels = {server.staging};
         }
+        if (server.closedAt && *server.closedAt <= now) {
+            server.closedAt.reset();
+            membership->state = MembershipState::Ready;
+        }
         if (server.opensAt && *server.opensAt <= now) {
             server.opensAt.reset();
             membership->state = MembershipState::Open;
--- a/tests/fleet/support/simulated_servers.h
+++ b/tests/fleet/support/simulated_servers.h
@@ -28,6 +28,8 @@
 public:
     static constexpr Duration LapseTime = milliseconds(3600);
     static constexpr Duration StallTime = seconds(6);
+    /// For which a head that closes goes on with its requests.
+    static constexpr Duration CloseTime = seconds(2);
 
     SimulatedServers(ServiceConfigPtr config, unsigned domains, unsigned serversPerDomain);
 
@@ -68,6 +70,7 @@
         std::optional<TimePoint> joinedAt; // when the join that is under way ends
         ModelId joining;
         std::optional<TimePoint> opensAt;
+        std::optional<TimePoint> closedAt; // when the requests of a head that closes have ended
         std::optional<TimePoint> stalledAt; // of a head: when it lost a member
         ModelId staging;
         std::optional<TimePoint> stagedAt;
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -170,8 +170,9 @@
     const std::span<const ServingTarget> targets(&target, 1);
     book.setPeerLoads(MemberId("p"), {{VmId("x"), 18, 5000, false}}, Start);
     EXPECT_NE(book.choose(targets, ZoneId("a"), {}, Start, random).target, nullptr);
-    book.setPeerLoads(MemberId("p"), {{VmId("x"), 18, 15000, false}}, Start);
+    book.setPeerLoads(MemberId("p"), {{VmId("x"), 18, 60000, false}}, Start);
     EXPECT_TRUE(book.choose(targets, ZoneId("a"), {}, Start, random).isFull);
+    EXPECT_NE(book.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::Begun).target, nullptr) << "a stream would be cut";
 }
 
 // Guards against a stream that has begun and is cut because the fleet has more requests than room.
