Keep no demand of models that nothing serves

Callers name the model of a request, so that each unknown name would take up memory in the estimate of the demand. Found in the read of the change; the test fails without the correction.

--- a/src/gateway/fleet_demand.h
+++ b/src/gateway/fleet_demand.h
@@ -48,6 +48,11 @@
 
     /// What has happened at the servers of @p pool since counts of age @p countAge were taken.
     CountDrift drift(const ServerPool &pool, Duration countAge, TimePoint now) const;
+    /// Pools that are kept in memory.
+    std::size_t poolCount() const
+    {
+        return pools_.size();
+    }
 
 private:
     struct Source {
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -160,10 +160,11 @@
     snapshot_ = context_.snapshot ? context_.snapshot : snapshot_;
     const auto now = context_.now();
     const auto pool = serverPool();
-    if (excluded_.empty()) {
+    const auto &targets = snapshot_->targets(pool.first, pool.second);
+    // Callers name the model: one that nothing serves must not take up memory.
+    if (excluded_.empty() && !targets.empty()) {
         context_.demand.noteChoice(pool, now);
     }
-    const auto &targets = snapshot_->targets(pool.first, pool.second);
     const auto drift = context_.countAge == Duration{} ? CountDrift() : context_.demand.drift(pool, context_.countAge, now);
     const auto choice = context_.book.choose(targets, context_.settings.zone, excluded_, now, context_.random, stage(), drift);
     entry_.load = choice.load;
--- a/tests/gateway/forward_call_test.cpp
+++ b/tests/gateway/forward_call_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/gateway/gateway_fixture.h"
 
 #include <atomic>
+#include <cstring>
 
 namespace carawaypoint
 {
@@ -58,6 +59,22 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, seconds(1));
 }
 
+// Guards against memory that grows with the models that callers name, whether or not anything serves them.
+TEST_F(GatewayForward, modelsThatNothingServesTakeUpNoMemory)
+{
+    start({});
+    for (int number = 0; number < 20; ++number) {
+        auto caller = connect();
+        auto text = request("/s/", "q" + std::to_string(number));
+        text.replace(text.find("X-Model: m"), std::strlen("X-Model: m"), "X-Model: unknown-" + std::to_string(number));
+        caller.write(text);
+        EXPECT_EQ(caller.read()->status(), 503);
+    }
+    std::size_t pools = 0;
+    onTraffic([this, &pools] { pools = context_->demand.poolCount(); });
+    EXPECT_EQ(pools, 0U);
+}
+
 // Guards against a promise of not-run after a request that may have run, and against running it twice.
 TEST_F(GatewayForward, aFailedNonRepeatableCallIsNotSentAgain)
 {
