Use one piece of code for means, units of time, packed messages and datagrams

From the read of the whole change; behaviour stays as it is. The mean time that servers are busy with a request uses the moving average that routing has, which moves to core. Seconds and milliseconds of a duration are computed in one place. Packing of messages moves to the protocol package, whose own codec wrote the same lines. Load reports and notices of changes receive datagrams by one loop. The replica controller describes a free server in one place; whether removals are deferred follows from the time for which they are; the time to read waiting prompts is computed once for each target of a choice.

--- /dev/null
+++ b/src/core/time_units.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace carawaypoint
+{
+
+inline double inSeconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+/// Parts of a millisecond are cut off.
+inline std::int64_t inMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+}
--- a/src/fleet/load_pacer.cpp
+++ b/src/fleet/load_pacer.cpp
@@ -1,5 +1,7 @@
 #include "fleet/load_pacer.h"
 
+#include "core/time_units.h"
+
 #include <chrono>
 
 namespace carawaypoint
@@ -24,7 +26,7 @@
         return true;
     }
     expire(now);
-    const double allowed = startsPerSecond_ * std::chrono::duration<double>(Window).count();
+    const double allowed = startsPerSecond_ * inSeconds(Window);
     if (static_cast<double>(starts_.size() + count) > allowed) {
         return false;
     }
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -110,6 +110,7 @@
     using FreeByDomain = std::map<DomainKey, std::vector<FreeServer>>;
     /// Members of replicas that have not ended.
     std::set<VmId> boundServers() const;
+    FreeServer freeServer(const BackendServer &server) const;
     FreeByDomain findFree(const ServerMap &servers, TimePoint now) const;
     bool retireForWarmServers(const FreeByDomain &free, const ServerMap &servers, TimePoint now);
     bool composeOne(FreeByDomain::value_type &domain, const ServerMap &servers, TimePoint now);
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -33,6 +33,12 @@
     return bound;
 }
 
+FreeServer ReplicaController::freeServer(const BackendServer &server) const
+{
+    const auto last = lastModels_.find(server.id);
+    return {server.id, last == lastModels_.end() ? ModelId() : last->second.second, server.stagedModels};
+}
+
 ReplicaController::FreeByDomain ReplicaController::findFree(const ServerMap &servers, TimePoint now) const
 {
     const auto bound = boundServers();
@@ -50,8 +56,7 @@
         if (plan != plans_.end() && plan->second.phase != PlanPhase::Retired) {
             continue;
         }
-        const auto last = lastModels_.find(id);
-        free[{server.service, server.domain}].push_back({id, last == lastModels_.end() ? ModelId() : last->second.second, server.stagedModels});
+        free[{server.service, server.domain}].push_back(freeServer(server));
     }
     return free;
 }
@@ -241,10 +246,8 @@
     plan.phaseSince = now;
     for (const auto &id : composition.members) {
         const auto &server = servers.at(id);
-        const auto last = lastModels_.find(id);
-        const FreeServer state{id, last == lastModels_.end() ? ModelId() : last->second.second, server.stagedModels};
         plan.members.push_back(
-            {.id = id, .address = server.address, .startedAt = server.startedAt, .isCold = state.warmthFor(composition.model) == Warmth::Cold});
+            {.id = id, .address = server.address, .startedAt = server.startedAt, .isCold = freeServer(server).warmthFor(composition.model) == Warmth::Cold});
     }
     auto &stored = plans_[plan.id] = std::move(plan);
     for (auto &member : stored.members) {
--- a/src/gateway/backend_book.cpp
+++ b/src/gateway/backend_book.cpp
@@ -280,12 +280,13 @@
         }
         const double load = loadOf(target) * (1 - drift.endedPart);
         leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
-        const double unread = stage == RequestStage::Begun ? 0 : settings_.unreadRoom * readSeconds(target);
+        const double reading = readSeconds(target);
+        const double unread = stage == RequestStage::Begun ? 0 : settings_.unreadRoom * reading;
         const double room = (fullLoad(target, stage) - load - unread) * target.slots;
         if (room <= 0) {
             continue;
         }
-        const double score = load + settings_.unreadWeight * readSeconds(target) + (target.zone == zone ? 0 : settings_.remotePenalty) + jitter(random);
+        const double score = load + settings_.unreadWeight * reading + (target.zone == zone ? 0 : settings_.remotePenalty) + jitter(random);
         const auto own = backends_.find(target.server);
         const bool isAvoided = own != backends_.end() && own->second.avoidUntil > now;
         (isAvoided ? avoided : sound).push_back({&target, load, score, room});
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include <array>
 #include <functional>
 #include <span>
 #include <system_error>
@@ -29,11 +28,7 @@
     void send(const ChangeNotice &notice, std::span<const PeerGateway> receivers);
 
 private:
-    boost::asio::awaitable<void> receiveAll();
-
     boost::asio::ip::udp::socket socket_;
-    Handler handler_;
-    std::array<std::byte, MaxNoticeBytes> space_{};
 };
 
 }
--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -1,7 +1,7 @@
 #include "gateway/change_notice.h"
 
 #include "gateway/change_notice.capnp.h"
-#include "gateway/packed_message.h"
+#include "protocol/packed_message.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
--- a/src/gateway/datagrams.cpp
+++ b/src/gateway/datagrams.cpp
@@ -1,8 +1,12 @@
 #include "gateway/datagrams.h"
 
+#include "core/connection.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
+#include <vector>
+
 namespace carawaypoint
 {
 
@@ -24,6 +28,21 @@
     return error;
 }
 
+asio::awaitable<void> receiveDatagrams(asio::ip::udp::socket &socket, std::size_t maxBytes, DatagramHandler handler)
+{
+    std::vector<std::byte> space(maxBytes);
+    asio::ip::udp::endpoint sender;
+    while (socket.is_open()) {
+        const auto [error, count] = co_await socket.async_receive_from(asio::buffer(space), sender, UseResult);
+        if (error == asio::error::operation_aborted) {
+            break;
+        }
+        if (!error) {
+            handler(std::span(space).first(count));
+        }
+    }
+}
+
 void sendDatagram(asio::ip::udp::socket &socket, std::span<const std::byte> bytes, const Endpoint &receiver)
 {
     boost::system::error_code ignored; // see the declaration
--- a/src/gateway/fleet_demand.cpp
+++ b/src/gateway/fleet_demand.cpp
@@ -1,5 +1,7 @@
 #include "gateway/fleet_demand.h"
 
+#include "core/time_units.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -19,11 +21,6 @@
 /// Weight of one request in the mean time that servers are busy with one.
 constexpr double HeldWeight = 1.0 / 16;
 
-double inSeconds(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 }
 
 DecayingRate::DecayingRate(Duration memory)
@@ -51,7 +48,7 @@
 
 FleetDemand::PoolUse &FleetDemand::use(const ServerPool &pool)
 {
-    return pools_.try_emplace(pool, PoolUse{DecayingRate(MixMemory)}).first->second;
+    return pools_.try_emplace(pool, PoolUse{DecayingRate(MixMemory), MovingAverage(HeldWeight)}).first->second;
 }
 
 void FleetDemand::noteBegun(TimePoint now)
@@ -67,8 +64,7 @@
 
 void FleetDemand::noteEnded(const ServerPool &pool, Duration held)
 {
-    auto &mean = use(pool).heldSeconds;
-    mean = mean <= 0 ? inSeconds(held) : mean + HeldWeight * (inSeconds(held) - mean);
+    use(pool).heldSeconds.add(inSeconds(held));
 }
 
 void FleetDemand::noteReport(std::string_view source, std::uint64_t begun, TimePoint now)
@@ -97,7 +93,8 @@
     const auto &use = found->second;
     const double poolShare = std::min(1.0, use.choices.perSecond(now) / ownShare);
     const double rate = std::max(fleetRate_.perSecond(now), ownRate_.perSecond(now));
-    const double ended = use.heldSeconds <= 0 ? 0 : 1 - std::exp(-inSeconds(countAge) / use.heldSeconds);
+    const double held = use.heldSeconds.value();
+    const double ended = held <= 0 ? 0 : 1 - std::exp(-inSeconds(countAge) / held);
     return {rate * poolShare * inSeconds(countAge), ended};
 }
 
--- a/src/gateway/fleet_demand.h
+++ b/src/gateway/fleet_demand.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/moving_average.h"
 #include "gateway/backend_book.h"
 
 #include <cstdint>
@@ -61,7 +62,7 @@
     };
     struct PoolUse {
         DecayingRate choices;
-        double heldSeconds = 0; // mean of recent requests; 0 when not known
+        MovingAverage heldSeconds; // by one request
     };
     PoolUse &use(const ServerPool &pool);
 
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forward_call.h"
 
+#include "core/time_units.h"
 #include "gateway/http_fields.h"
 #include "gateway/request_parser.h"
 #include "gateway/retry_after.h"
@@ -31,11 +32,6 @@
 constexpr unsigned MaxUnsent = 3;
 constexpr unsigned MaxForeignAnswers = 2;
 
-std::int64_t inMilliseconds(Duration time)
-{
-    return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
 }
 
 ForwardCall::ForwardCall(GatewayContext &context, ConnectionPtr caller, CallerRequest request, TimePoint receivedAt)
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -62,7 +62,12 @@
 {
     const auto error = openDatagramSocket(socket_, endpoint);
     if (!error) {
-        asio::co_spawn(context_.io, receiveAll(), asio::detached);
+        auto receive = [this](std::span<const std::byte> bytes) {
+            if (auto report = decodeReport(bytes)) {
+                apply(*std::move(report));
+            }
+        };
+        asio::co_spawn(context_.io, receiveDatagrams(socket_, MaxReportBytes, std::move(receive)), asio::detached);
         asio::co_spawn(context_.io, sendAll(), asio::detached);
     }
     return error;
@@ -81,24 +86,6 @@
     timer_.cancel();
 }
 
-asio::awaitable<void> LoadExchange::receiveAll()
-{
-    std::array<std::byte, MaxReportBytes> space{};
-    asio::ip::udp::endpoint sender;
-    while (socket_.is_open()) {
-        const auto [error, count] = co_await socket_.async_receive_from(asio::buffer(space), sender, UseResult);
-        if (error == asio::error::operation_aborted) {
-            break;
-        }
-        if (error) {
-            continue;
-        }
-        if (auto report = decodeReport({space.data(), count})) {
-            apply(*std::move(report));
-        }
-    }
-}
-
 void LoadExchange::apply(GatewayLoadReport report)
 {
     auto &peer = seen_[report.gateway];
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <map>
 #include <system_error>
 #include <vector>
@@ -40,7 +39,6 @@
         std::uint64_t sequence = 0;
     };
 
-    asio::awaitable<void> receiveAll();
     asio::awaitable<void> sendAll();
     void apply(GatewayLoadReport report);
     void applySum(GatewayLoadReport report);
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -1,7 +1,7 @@
 #include "gateway/load_report_codec.h"
 
 #include "gateway/load_report.capnp.h"
-#include "gateway/packed_message.h"
+#include "protocol/packed_message.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_log.h"
 
+#include "core/time_units.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 
@@ -15,16 +16,6 @@
 constexpr unsigned MaxLines = 400;
 constexpr unsigned MaxSuccessLines = 150;
 
-std::int64_t inMilliseconds(Duration time)
-{
-    return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
-double inSeconds(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 }
 
 bool RequestLog::mayWrite(bool isFailure, TimePoint now)
--- a/src/gateway/returned_callers.cpp
+++ b/src/gateway/returned_callers.cpp
@@ -20,8 +20,9 @@
     auto &longest = found->second;
     // No request is kept for longer than the route allows. A caller that states far more must not make all others look as if they
     // came back.
-    longest = std::max(longest, std::min(stated, timeout));
-    return std::min(stated, timeout) + ReturnedAfter < std::min(longest, timeout);
+    const auto usable = std::min(stated, timeout);
+    longest = std::max(longest, usable);
+    return usable + ReturnedAfter < std::min(longest, timeout);
 }
 
 }
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -13,7 +13,7 @@
 
 bool ServerRegistry::mustDefer(TimePoint now) const
 {
-    return isFailing_ || now < deferredUntil_ || (returnedAt_ && now - *returnedAt_ < settings_.returnTime);
+    return unsettledTime(now) > Duration{};
 }
 
 void ServerRegistry::deferUntil(TimePoint end)
--- a/src/protocol/message_codec.cpp
+++ b/src/protocol/message_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/message_codec.h"
 
 #include "core/result_code.h"
+#include "protocol/packed_message.h"
 #include "protocol/wire_conversion.h"
 
 #include <capnp/message.h>
@@ -8,8 +9,6 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
-#include <cstring>
-
 namespace carawaypoint
 {
 
@@ -24,12 +23,7 @@
 {
     capnp::MallocMessageBuilder builder;
     wire::write(builder.initRoot<wire::Message>(), message);
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, builder);
-    const auto bytes = out.getArray();
-    std::vector<std::byte> result(bytes.size());
-    std::memcpy(result.data(), bytes.begin(), bytes.size());
-    return result;
+    return packMessage(builder);
 }
 
 std::error_code decodeMessage(std::span<const std::byte> bytes, PeerMessage &message)
--- a/src/gateway/packed_message.cpp
+++ b/src/protocol/packed_message.cpp
@@ -1,4 +1,4 @@
-#include "gateway/packed_message.h"
+#include "protocol/packed_message.h"
 
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
--- a/src/routing/admission_control.h
+++ b/src/routing/admission_control.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "core/moving_average.h"
 #include "routing/admission_policy.h"
 #include "routing/admission_queue.h"
 #include "routing/customer_accounts.h"
-#include "routing/moving_average.h"
 #include "routing/request_record.h"
 
 #include <array>
--- a/src/routing/customer_accounts.h
+++ b/src/routing/customer_accounts.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/moving_average.h"
 #include "core/routing_snapshot.h"
 #include "routing/admission_queue.h"
-#include "routing/moving_average.h"
 
 #include <array>
 #include <cstdint>
--- a/src/routing/outlier_ejector.h
+++ b/src/routing/outlier_ejector.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "routing/moving_average.h"
+#include "core/moving_average.h"
 
 #include <cstddef>
 #include <unordered_map>
--- a/src/routing/replica_book.h
+++ b/src/routing/replica_book.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "routing/moving_average.h"
+#include "core/moving_average.h"
 #include "routing/replica_entry.h"
 
 #include <memory>
--- a/tests/gateway/replica_choice_load_test.cpp
+++ b/tests/gateway/replica_choice_load_test.cpp
@@ -1,3 +1,4 @@
+#include "core/time_units.h"
 #include "gateway/backend_book.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/retry_after.h"
@@ -152,11 +153,6 @@
         return Duration(static_cast<std::int64_t>(seconds * 1e6));
     }
 
-    static double inSeconds(Duration time)
-    {
-        return std::chrono::duration<double>(time).count();
-    }
-
     BackendBook::Choice chooseAt(unsigned gateway, RequestStage stage = RequestStage::New)
     {
         source_ = gateway;
