Move servers between models by their load

Cause: one model rejects most of its requests while the other has room, and nothing moves; replicas follow the configured shares. A model that loses a replica frees servers for the other one, whose smaller replicas are formed first, so that the large model loses one after the other. Ruled out: domains that stay with one model (the spares of another domain cannot help), moves by free slots (rejected requests do not show there). Change: gateways report the requests in progress and those that were rejected; the holder of the lease compares servers with the servers needed, drains the least loaded replicas of a model that can spare them and forms one of the model in need (CapacityBalancer). Servers that hold the weights of the scarcer model are not taken for the other.

--- a/src/fleet/replica_composer.cpp
+++ b/src/fleet/replica_composer.cpp
@@ -13,7 +13,7 @@
 double capacityPerDemand(const ModelId &model, std::span<const ModelDemand> demands)
 {
     const auto found = std::find_if(demands.begin(), demands.end(), [&model](const ModelDemand &demand) { return demand.model == model; });
-    return found == demands.end() || found->weight <= 0 ? 0 : found->servers / found->weight;
+    return found == demands.end() || found->weight <= 0 ? 0 : found->coverage();
 }
 
 Composition fastestMembers(std::span<const FreeServer> free, const ModelSpec &model)
@@ -33,6 +33,22 @@
     return result;
 }
 
+/// Whether @p candidate takes servers that hold the weights of another model with less capacity for its demand, although the free servers
+/// suffice for a replica of that model. It is better to wait for its loads than to lose the weights that are there.
+bool takesFromScarcerModel(const Composition &candidate,
+                           std::span<const FreeServer> free,
+                           std::span<const ModelSpec> models,
+                           std::span<const ModelDemand> demands)
+{
+    return std::any_of(models.begin(), models.end(), [&](const ModelSpec &other) {
+        const bool isScarcer = other.id != candidate.model && other.size > 0 && other.size <= free.size()
+            && capacityPerDemand(other.id, demands) <= capacityPerDemand(candidate.model, demands);
+        return isScarcer && std::any_of(free.begin(), free.end(), [&](const FreeServer &server) {
+                   return server.lastModel == other.id && std::find(candidate.members.begin(), candidate.members.end(), server.id) != candidate.members.end();
+               });
+    });
+}
+
 }
 
 WeightLocation FreeServer::weightLocation(const ModelId &model) const
@@ -71,6 +87,9 @@
             continue;
         }
         auto candidate = fastestMembers(free, model);
+        if (takesFromScarcerModel(candidate, free, models, demands)) {
+            continue;
+        }
         const std::tuple<bool, bool, double> rank{candidate.loadsFromStoreCount > 0, !keepsSingleModel(model), capacityPerDemand(model.id, demands)};
         if (!best || rank < bestRank) {
             best = std::move(candidate);
--- a/src/fleet/replica_composer.h
+++ b/src/fleet/replica_composer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/model_demand.h"
 #include "fleet/service_config.h"
 
 #include <map>
@@ -26,13 +27,6 @@
     WeightLocation weightLocation(const ModelId &model) const;
 };
 
-/// Capacity of a model and its share of the expected work.
-struct ModelDemand {
-    ModelId model;
-    double servers = 0; // servers in replicas that serve or are being formed
-    double weight = 1; // relative share of the expected work
-};
-
 /// Members chosen for a new replica.
 struct Composition {
     ModelId model;
@@ -47,7 +41,8 @@
 ///
 /// Prefers replicas that need no load from the weight store, since they serve within two seconds; then models that the domain already
 /// runs, as long as this leaves no more servers unused: in a domain with one model, every remaining server can replace any
-/// other without a load. Of the remaining candidates, chooses the model with the least capacity for its demand.
+/// other without a load. Of the remaining candidates, chooses the model with the least capacity for its demand. Servers that hold the
+/// weights of a model are not taken for one with more capacity while they suffice for a replica of their own.
 /// @param domainModels models of the domain's replicas.
 std::optional<Composition> composeReplica(std::span<const FreeServer> free,
                                           std::span<const ModelSpec> models,
--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -71,6 +71,7 @@
     lastSerial_ = 0;
     plans_.clear();
     stagings_.clear();
+    reservations_.clear();
 }
 
 void ReplicaController::recordUnresponsive(const VmId &server, std::uint64_t startedAt, TimePoint now)
@@ -120,6 +121,9 @@
     if (mayFormReplicas(servers, now)) {
         formReplicas(servers, now);
     }
+    if (!hasTraffic_) {
+        stageAlternatives(servers, now);
+    }
     return std::move(orders_);
 }
 
@@ -309,7 +313,7 @@
     }
     const bool isAnyGone =
         std::any_of(plan.members.begin(), plan.members.end(), [&](const PlannedMember &member) { return findServer(servers, member) == nullptr; });
-    if (isAnyGone || now - plan.phaseSince > settings_.drainTime) {
+    if (isAnyGone || now - plan.phaseSince > (plan.isMoving ? settings_.moveDrainTime : settings_.drainTime)) {
         enterPhase(plan, PlanPhase::Ending, now, isAnyGone ? "a member is gone" : "requests did not end in time");
         return;
     }
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/capacity_balancer.h"
+#include "fleet/model_demand.h"
 #include "fleet/order_client.h"
 #include "fleet/replica_composer.h"
 #include "fleet/replica_plan.h"
@@ -7,6 +9,7 @@
 #include "fleet/weight_load_limiter.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string_view>
@@ -28,6 +31,10 @@
     Duration unregisteredPlanTimeout{seconds(10)}; // an ending plan without registered members is dropped after this time
     Duration unresponsiveBackoff{seconds(8)}; // a server that did not answer a probe is not used for this time, unless it restarts
     Duration drainTime{milliseconds(3500)}; // limit for requests in progress at a replica with a leaving member
+    /// Same for a replica whose servers move to another model. None of its members is leaving, so its requests get more time.
+    Duration moveDrainTime{seconds(9)};
+    Duration minServingTime{seconds(3)}; // a replica serves at least this long before its servers move to another model
+    Duration moveInterval{seconds(1)}; // between moves, so that the load reports show the effect of the last one
     Duration releaseDelay{seconds(1)}; // before members of an ended replica that no other replica uses are ordered to leave
     Duration joinMargin{seconds(4)}; // added to the expected duration of a join
 
@@ -63,6 +70,11 @@
     {
         hasTraffic_ = true;
     }
+    /// Sets the load of the fleet as seen by its gateways. Until it is known, the configured shares count as the demand.
+    void setLoad(FleetLoad load)
+    {
+        load_ = std::move(load);
+    }
     /// Returns the orders that are due. @p servers is the current list.
     std::vector<ReplicaOrder> decide(const ServerMap &servers, TimePoint now);
     /// The server did not answer a probe: it counts as lost although it is still registered.
@@ -79,6 +91,13 @@
         ModelId model;
         std::uint64_t serverStartedAt = 0;
         TimePoint since{};
+        bool isOnMember = false; // of a serving replica, which may be repaired meanwhile
+    };
+    /// Free servers of a domain that wait for those of draining replicas, to form a replica of this model with them.
+    struct Reservation {
+        ModelId model;
+        unsigned servers = 0;
+        TimePoint until{};
     };
 
     struct Unresponsive {
@@ -118,15 +137,26 @@
     std::set<VmId> assignedServers() const;
     FreeServer makeFreeServer(const BackendServer &server) const;
     FreeByDomain findFreeServers(const ServerMap &servers, TimePoint now) const;
+    /// Moves servers from models with spare capacity to the one that lacks it most.
+    void moveCapacity(const FreeByDomain &free, const ServerMap &servers, TimePoint now);
+    bool moveCapacityOf(const ServiceSpec &service, const FreeByDomain &free, const ServerMap &servers, TimePoint now);
+    DomainCapacity domainCapacity(const DomainKey &domain, const FreeByDomain &free, const ModelId &need, const ServerMap &servers, TimePoint now) const;
+    bool isMovable(const ReplicaPlan &plan, const ServerMap &servers, TimePoint now) const;
     bool retireLoadingPlans(const FreeByDomain &free, const ServerMap &servers, TimePoint now);
     bool formReplica(FreeByDomain::value_type &domain, const ServerMap &servers, TimePoint now);
     /// Whether the service has enough fabric domains to run only one model in each.
     static bool hasDomainsForEachModel(const ServiceSpec &service, const ServerMap &servers);
     std::set<ModelId> modelsInDomain(const DomainKey &domain) const;
     bool startReplica(const ServiceSpec &service, const FabricDomainId &domain, const Composition &composition, const ServerMap &servers, TimePoint now);
+    /// Before traffic, stages a second model on the hosts of serving replicas, so that their servers can run either model without a load.
+    void stageAlternatives(const ServerMap &servers, TimePoint now);
     void stageSpares(const ServiceSpec &service, const FabricDomainId &domain, std::span<const FreeServer> spares, const ServerMap &servers, TimePoint now);
     void removeEndedStagings(const ServerMap &servers, TimePoint now);
-    std::vector<ModelDemand> modelDemands(const ServiceSpec &service) const;
+    std::vector<ModelDemand> modelDemands(const ServiceSpec &service, const ServerMap &servers) const;
+    /// Servers that each model needs: from its requests, or from the configured shares while these are not known.
+    std::vector<ModelDemand> neededServers(const ServiceSpec &service, const ServerMap &servers) const;
+    /// Whether the composition takes servers from a model although its own model needs none.
+    bool convertsNeedlessly(const Composition &composition, std::span<const ModelDemand> demands, const ServerMap &servers) const;
     unsigned loadsInProgress(const ServerMap &servers) const;
     bool mayLoad(const ServiceSpec &service, unsigned count, const ServerMap &servers, TimePoint now);
 
@@ -146,6 +176,9 @@
     TimePoint termStartedAt_{};
     std::map<VmId, std::pair<std::uint64_t, ModelId>> lastModels_; // startedAt of the server, and the model of its last replica
     WeightLoadLimiter loadLimiter_;
+    std::optional<FleetLoad> load_;
+    std::map<DomainKey, Reservation> reservations_;
+    TimePoint lastMoveAt_{};
     std::vector<ReplicaOrder> orders_;
     std::vector<PlanChange> planChanges_;
 };
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -63,11 +63,13 @@
     return free;
 }
 
-std::vector<ModelDemand> ReplicaController::modelDemands(const ServiceSpec &service) const
+std::vector<ModelDemand> ReplicaController::modelDemands(const ServiceSpec &service, const ServerMap &servers) const
 {
-    std::vector<ModelDemand> result;
-    for (const auto &model : service.engine->models) {
-        result.push_back({model.id, 0, model.share});
+    auto result = neededServers(service, servers);
+    for (const auto &[domain, reservation] : reservations_) {
+        for (auto &demand : result) {
+            demand.servers += domain.first == service.id && demand.model == reservation.model ? reservation.servers : 0;
+        }
     }
     for (const auto &[id, plan] : plans_) {
         if (plan.service != service.id || plan.phase > PlanPhase::Serving) {
@@ -154,6 +156,7 @@
     if (retireLoadingPlans(free, servers, now)) {
         free = findFreeServers(servers, now);
     }
+    moveCapacity(free, servers, now);
     // Sorted by availability zone, so that consecutive domains, which tend to get different models, are in the same zone.
     std::vector<FreeByDomain::value_type *> domains;
     domains.reserve(free.size());
@@ -192,19 +195,30 @@
 bool ReplicaController::formReplica(FreeByDomain::value_type &domain, const ServerMap &servers, TimePoint now)
 {
     auto &[key, available] = domain;
-    std::erase_if(available, [this](const FreeServer &server) { return stagings_.contains(server.id); });
+    std::erase_if(available, [this](const FreeServer &server) {
+        const auto staging = stagings_.find(server.id);
+        return staging != stagings_.end() && !staging->second.isOnMember;
+    });
     const auto &service = config_->services.at(key.first);
+    auto models = service.engine->models;
+    const auto reservation = reservations_.find(key);
+    if (reservation != reservations_.end()) {
+        std::erase_if(models, [&](const ModelSpec &model) { return model.id != reservation->second.model; });
+    }
+    const auto demands = modelDemands(service, servers);
     // After traffic has started, the choice depends on the weights that servers hold and then on the demand for each model. If a
     // domain kept its model, the larger model would lose its replicas, since each loss frees more servers for the smaller one.
     const bool keepsDomainUniform = !hasTraffic_ && hasDomainsForEachModel(service, servers);
-    const auto composition =
-        composeReplica(available, service.engine->models, modelDemands(service), keepsDomainUniform ? modelsInDomain(key) : std::set<ModelId>());
-    if (!composition || !startReplica(service, key.second, *composition, servers, now)) {
+    const auto composition = composeReplica(available, models, demands, keepsDomainUniform ? modelsInDomain(key) : std::set<ModelId>());
+    const bool isReserved = reservation != reservations_.end();
+    if (!composition || (hasTraffic_ && !isReserved && convertsNeedlessly(*composition, demands, servers))
+        || !startReplica(service, key.second, *composition, servers, now)) {
         return false;
     }
     std::erase_if(available, [&composition](const FreeServer &server) {
         return std::find(composition->members.begin(), composition->members.end(), server.id) != composition->members.end();
     });
+    reservations_.erase(key);
     return true;
 }
 
@@ -295,7 +309,7 @@
             continue;
         }
         const auto &server = servers.at(spare.id);
-        stagings_[spare.id] = {model, server.startedAt, now};
+        stagings_[spare.id] = {model, server.startedAt, now, false};
         if (hasTraffic_) {
             loadLimiter_.recordStarts(1, now);
         }
--- a/src/fleet/replica_plan.h
+++ b/src/fleet/replica_plan.h
@@ -39,6 +39,7 @@
     ModelId model{};
     std::vector<PlannedMember> members{}; // by rank; the id of a member that is not known yet is empty
     PlanPhase phase = PlanPhase::Joining;
+    bool isMoving = false; // draining because its servers are needed for another model
     bool isAdopted = false; // rebuilt from reports of servers, so orders of a former holder of the lease may still arrive
     TimePoint phaseSince{};
     TimePoint lastOrderAt{}; // last order of the phase to the head
--- a/src/gateway/backend_load_tracker.cpp
+++ b/src/gateway/backend_load_tracker.cpp
@@ -184,16 +184,21 @@
     return std::exchange(stalled_, {});
 }
 
-double BackendLoadTracker::loadOf(const ServingTarget &target) const
+unsigned BackendLoadTracker::requestsAt(const VmId &server) const
 {
     unsigned requests = 0;
-    if (const auto own = backends_.find(target.server); own != backends_.end()) {
+    if (const auto own = backends_.find(server); own != backends_.end()) {
         requests += own->second.own;
     }
-    if (const auto peers = peerLoadSums_.find(target.server); peers != peerLoadSums_.end()) {
+    if (const auto peers = peerLoadSums_.find(server); peers != peerLoadSums_.end()) {
         requests += peers->second.requests;
     }
-    return static_cast<double>(requests) / std::max(1U, target.slots);
+    return requests;
+}
+
+double BackendLoadTracker::loadOf(const ServingTarget &target) const
+{
+    return static_cast<double>(requestsAt(target.server)) / std::max(1U, target.slots);
 }
 
 double BackendLoadTracker::prefillSeconds(const ServingTarget &target) const
--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -102,6 +102,8 @@
 
     void setPeerLoads(const MemberId &peer, std::vector<BackendLoad> loads, TimePoint now);
     std::vector<BackendLoad> ownLoads() const;
+    /// Requests in progress at @p server, from this daemon and its peers.
+    unsigned requestsAt(const VmId &server) const;
     /// Servers that this daemon or a peer has found to be stalled since the last call.
     std::vector<VmId> takeStalled();
 
--- a/src/gateway/fleet_demand.cpp
+++ b/src/gateway/fleet_demand.cpp
@@ -20,6 +20,12 @@
 constexpr Duration CounterResetTimeout = seconds(1);
 /// Weight of one request in the moving average of the busy time.
 constexpr double BusyTimeWeight = 1.0 / 16;
+/// Time constant of the rate of rejected requests; long enough to see the callers of a gateway with few of them.
+constexpr Duration RejectionTimeConstant = seconds(3);
+/// Busy time of a request while none of its pool has ended yet.
+constexpr double DefaultBusySeconds = 1;
+/// Unmet load below this is not reported.
+constexpr double MinUnmetRequests = 0.05;
 
 }
 
@@ -48,7 +54,7 @@
 
 FleetDemand::PoolUsage &FleetDemand::poolUsage(const ServerPool &pool)
 {
-    return pools_.try_emplace(pool, PoolUsage{DecayingRate(MixTimeConstant), MovingAverage(BusyTimeWeight)}).first->second;
+    return pools_.try_emplace(pool, PoolUsage{DecayingRate(MixTimeConstant), MovingAverage(BusyTimeWeight), DecayingRate(RejectionTimeConstant)}).first->second;
 }
 
 void FleetDemand::recordRequestStart(TimePoint now)
@@ -67,6 +73,24 @@
     poolUsage(pool).busySeconds.add(inSeconds(busyTime));
 }
 
+void FleetDemand::recordRejection(const ServerPool &pool, TimePoint now)
+{
+    poolUsage(pool).rejections.add(1, now);
+}
+
+std::vector<UnmetLoad> FleetDemand::unmetLoads(TimePoint now) const
+{
+    std::vector<UnmetLoad> loads;
+    for (const auto &[pool, usage] : pools_) {
+        const double busyTime = usage.busySeconds.value() > 0 ? usage.busySeconds.value() : DefaultBusySeconds;
+        const double requests = usage.rejections.perSecond(now) * busyTime;
+        if (requests >= MinUnmetRequests) {
+            loads.push_back({pool, requests});
+        }
+    }
+    return loads;
+}
+
 void FleetDemand::recordReport(std::string_view source, std::uint64_t startedRequests, TimePoint now)
 {
     const auto found = sources_.find(source);
--- a/src/gateway/fleet_demand.h
+++ b/src/gateway/fleet_demand.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace carawaypoint
 {
@@ -33,6 +34,12 @@
 /// Identifies the backend servers that can serve a request: all replicas of a model, or all servers of a plain service.
 using ServerPool = std::pair<ServiceId, ModelId>;
 
+/// Requests that would be in progress in a pool if it had not rejected them for lack of capacity.
+struct UnmetLoad {
+    ServerPool pool;
+    double requests = 0;
+};
+
 /// Estimates how many requests all gateways together send to a pool. The rate of the fleet comes from the counters in load reports, the
 /// share of each pool from the requests of this gateway.
 class FleetDemand
@@ -42,6 +49,10 @@
 
     void recordRequestStart(TimePoint now);
     void recordChoice(const ServerPool &pool, TimePoint now);
+    /// A request was rejected because no server of @p pool had free capacity.
+    void recordRejection(const ServerPool &pool, TimePoint now);
+    /// Unmet load of this gateway's callers; only of pools that rejected requests recently.
+    std::vector<UnmetLoad> unmetLoads(TimePoint now) const;
     /// @param busyTime time for which the server was busy with the request.
     void recordRequestEnd(const ServerPool &pool, Duration busyTime);
     /// @param source gateway or availability zone; @param startedRequests requests that it has started since its process started.
@@ -63,6 +74,7 @@
     struct PoolUsage {
         DecayingRate choices;
         MovingAverage busySeconds; // per request
+        DecayingRate rejections;
     };
     PoolUsage &poolUsage(const ServerPool &pool);
 
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -170,6 +170,7 @@
         return choice.target;
     }
     if (sentAttempts_ == 0) {
+        recordRejection(pool);
         failWith(choice.isFull ? ResultCode::QueueFull : ResultCode::NoReplicaAvailable,
                  choice.isFull ? "all places are taken" : "no healthy server is known for the model");
         retryAfter_ = choice.isFull ? RetryAfterFull : RetryAfterNoReplica;
@@ -177,6 +178,17 @@
     return nullptr;
 }
 
+/// Counts the rejection as demand that the replicas of a configured model did not meet.
+void ForwardCall::recordRejection(const ServerPool &pool)
+{
+    const auto service = snapshot_->config()->services.find(pool.first);
+    const bool isConfigured =
+        service != snapshot_->config()->services.end() && (!service->second.engine || service->second.engine->findModel(pool.second) != nullptr);
+    if (isConfigured) {
+        context_.demand.recordRejection(pool, context_.now());
+    }
+}
+
 asio::awaitable<bool> ForwardCall::run()
 {
     const auto self = shared_from_this();
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -54,6 +54,7 @@
     ServerPool serverPool() const;
     RequestStage stage() const;
     const ServingTarget *chooseTarget();
+    void recordRejection(const ServerPool &pool);
 
     asio::awaitable<AttemptEnd> attempt(ServingTarget target);
     asio::awaitable<AttemptEnd> exchange(BackendLink &link, ServingTarget target);
--- a/tests/fleet/replica_controller_test.cpp
+++ b/tests/fleet/replica_controller_test.cpp
@@ -22,8 +22,8 @@
 class ControllerRun
 {
 public:
-    explicit ControllerRun(unsigned domains = 2)
-        : servers(makeTwoModelConfig(), domains, 11)
+    explicit ControllerRun(unsigned domains = 2, unsigned serversPerDomain = 11)
+        : servers(makeTwoModelConfig(), domains, serversPerDomain)
     {
         restart(1);
     }
@@ -506,4 +506,100 @@
     EXPECT_EQ(run.orders, 0U);
 }
 
+/// Sets the load of the fleet: requests in progress of each model, spread evenly over its replicas, and unmet ones.
+FleetLoad makeLoad(const ControllerRun &run, double large, double unmetLarge, double small, double unmetSmall)
+{
+    FleetLoad load;
+    load.models = {{ServiceId("drafting"), Large, large, unmetLarge}, {ServiceId("drafting"), Small, small, unmetSmall}};
+    for (const auto &id : run.servers.ids()) {
+        load.requestsByHead[id] = 5;
+    }
+    return load;
+}
+
+// Guards against replicas that need a load from the weight store, for 12 to 16 s, when their servers move to another model.
+TEST(ReplicaController, stagesASecondModelBeforeTraffic)
+{
+    ControllerRun run(3);
+    run.run(seconds(40));
+    for (const auto &id : run.servers.ids()) {
+        const auto &state = run.servers.state(id);
+        if (!state.membership) {
+            continue;
+        }
+        const auto other = state.loadedModel == Large ? Small : Large;
+        EXPECT_EQ(state.stagedModels, std::vector<ModelId>{other}) << id.str();
+    }
+    EXPECT_THAT(run.servers.violations(), IsEmpty());
+}
+
+// Load: one model rejects requests while the replicas of the other are nearly idle. Guards against servers that stay with the idle model.
+TEST(ReplicaController, movesServersToTheModelThatRejectsRequests)
+{
+    for (const bool isLargeShort : {true, false}) {
+        ControllerRun run(4, 12);
+        run.run(seconds(40));
+        run.startTraffic();
+        run.run(seconds(5));
+        const auto largeBefore = run.servers.servingReplicas(Large);
+        const auto smallBefore = run.servers.servingReplicas(Small);
+        const auto loads = run.servers.loads();
+        // The short model wants twice its slots, the other one uses a tenth.
+        const double shortSlots = 26.0 * (isLargeShort ? largeBefore : smallBefore);
+        const double idleSlots = 26.0 * (isLargeShort ? smallBefore : largeBefore);
+        run.controller.setLoad(isLargeShort ? makeLoad(run, shortSlots, shortSlots, idleSlots / 10, 0)
+                                            : makeLoad(run, idleSlots / 10, 0, shortSlots, shortSlots));
+        run.run(seconds(14));
+        if (isLargeShort) {
+            EXPECT_GT(run.servers.servingReplicas(Large), largeBefore);
+        } else {
+            EXPECT_GT(run.servers.servingReplicas(Small), smallBefore);
+        }
+        EXPECT_GE(run.servers.servingReplicas(Large), 1U);
+        EXPECT_GE(run.servers.servingReplicas(Small), 1U);
+        EXPECT_EQ(run.servers.loads(), loads) << "a move needs no load of staged weights";
+        EXPECT_THAT(run.servers.violations(), IsEmpty());
+    }
+}
+
+// Load: both models are equally short. Guards against servers that move back and forth, each time without serving anything.
+TEST(ReplicaController, keepsServersWhenBothModelsAreShort)
+{
+    ControllerRun run(4);
+    run.run(seconds(40));
+    run.startTraffic();
+    run.run(seconds(5));
+    const auto large = run.servers.servingReplicas(Large);
+    const auto small = run.servers.servingReplicas(Small);
+    run.controller.setLoad(makeLoad(run, 26.0 * large, 20.0 * large, 26.0 * small, 20.0 * small));
+    const auto orders = run.orders;
+    run.run(seconds(20));
+    EXPECT_EQ(run.servers.servingReplicas(Large), large);
+    EXPECT_EQ(run.servers.servingReplicas(Small), small);
+    EXPECT_EQ(run.orders, orders);
+}
+
+// Load: batches of losses end replicas of the large model, whose survivors alone are too few for another one. Guards against a large model
+// that loses one replica after the other while each loss frees servers for the small one.
+TEST(ReplicaController, largeModelSurvivesBatchesOfLosses)
+{
+    ControllerRun run(6);
+    run.run(seconds(40));
+    run.startTraffic();
+    run.run(seconds(5));
+    const auto before = run.servers.servingReplicas(Large);
+    for (int batch = 0; batch < 3; ++batch) {
+        for (int loss = 0; loss < 3; ++loss) {
+            run.servers.fail(run.memberOf(run.headOf(Large), 3), ServerFault::PoweredOff, run.now);
+            run.run(milliseconds(150));
+        }
+        const double large = 26.0 * run.servers.servingReplicas(Large);
+        run.controller.setLoad(makeLoad(run, large, large / 2, 20, 0));
+        run.run(seconds(12));
+    }
+    EXPECT_GE(run.servers.servingReplicas(Large) + 2, before);
+    EXPECT_GE(run.servers.servingReplicas(Small), 1U);
+    EXPECT_THAT(run.servers.violations(), IsEmpty());
+}
+
 }
--- a/tests/fleet/support/simulated_servers.cpp
+++ b/tests/fleet/support/simulated_servers.cpp
@@ -242,6 +242,10 @@
 void SimulatedServers::fail(const VmId &id, ServerFault fault, TimePoint now)
 {
     auto &server = servers_.at(id);
+    // A powered-off server has to restart before a partition can affect it.
+    if (server.fault == ServerFault::PoweredOff && fault == ServerFault::Partitioned) {
+        return;
+    }
     server.fault = fault;
     server.faultAt = now;
 }
--- a/tests/gateway/fleet_demand_test.cpp
+++ b/tests/gateway/fleet_demand_test.cpp
@@ -77,4 +77,25 @@
     EXPECT_EQ(demand.staleness(Small, CountAge, now).endedShare, 0);
 }
 
+// Guards against a model that is short of replicas although its rejected requests look like no load at all.
+TEST(FleetDemand, countsRejectedRequestsAsUnmetLoad)
+{
+    FleetDemand demand;
+    const ServerPool pool{ServiceId("s"), ModelId("large")};
+    auto now = Start;
+    for (int request = 0; request < 200; ++request) {
+        demand.recordRejection(pool, now);
+        now += milliseconds(50);
+    }
+    auto unmet = demand.unmetLoads(now);
+    ASSERT_EQ(unmet.size(), 1U);
+    // 20 requests a second of one second each, until the busy time is known.
+    EXPECT_NEAR(unmet.front().requests, 20, 1.5);
+    for (int request = 0; request < 100; ++request) {
+        demand.recordRequestEnd(pool, milliseconds(2000));
+    }
+    EXPECT_NEAR(demand.unmetLoads(now).front().requests, 40, 3);
+    EXPECT_TRUE(demand.unmetLoads(now + seconds(30)).empty());
+}
+
 }
