--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -18,6 +18,13 @@
      .high = 1048576,
      .defaultText = "4096",
      .description = "File descriptors that the process may open. A part is reserved for backend servers and the store."},
+    {.key = "link_mbps",
+     .kind = ValueKind::Number,
+     .unit = "Mbit/s",
+     .low = 0,
+     .high = 1000000,
+     .defaultText = "0",
+     .description = "Bandwidth of the VM's network link. Daemons with the fastest links become relays of their zone. 0 when not known."},
 };
 constexpr KeySchema ListenKeys[] = {
     {.key = "callers", .kind = ValueKind::Address, .isRequired = true, .description = "Address for callers."},
@@ -91,6 +98,7 @@
     settings.id = MemberId(values.at("process", "id").canonicalText);
     settings.zone = ZoneId(values.at("process", "zone").canonicalText);
     settings.maxDescriptors = static_cast<unsigned>(values.at("process", "max_descriptors").number);
+    settings.linkMbps = static_cast<unsigned>(values.at("process", "link_mbps").number);
     settings.callers = values.address("listen", "callers");
     settings.readiness = values.address("listen", "readiness");
     settings.metrics = values.address("listen", "metrics");
--- a/src/gateway/change_feed.cpp
+++ b/src/gateway/change_feed.cpp
@@ -19,9 +19,9 @@
 {
     const auto error = openDatagramSocket(socket_, endpoint);
     if (!error) {
-        auto receive = [handler = std::move(handler)](std::span<const std::byte> bytes) {
-            if (const auto notice = decodeNotice(bytes)) {
-                handler(*notice);
+        auto receive = [handler = std::move(handler)](std::span<const std::byte> bytes, const Endpoint &sender) {
+            if (const auto message = decodeChangeMessage(bytes)) {
+                handler(*message, sender);
             }
         };
         asio::co_spawn(socket_.get_executor(), receiveDatagrams(socket_, MaxNoticeBytes, std::move(receive)), asio::detached);
@@ -29,12 +29,18 @@
     return error;
 }
 
-void ChangeFeed::send(const ChangeNotice &notice, std::span<const PeerGateway> receivers)
+void ChangeFeed::send(const ChangeNotice &notice, std::span<const Endpoint> receivers)
 {
-    const auto bytes = encodeNotice(notice);
-    for (const auto &receiver : receivers) {
-        sendDatagram(socket_, bytes, receiver.changes);
+    for (const auto &bytes : encodeNotice(notice)) {
+        for (const auto &receiver : receivers) {
+            sendDatagram(socket_, bytes, receiver);
+        }
     }
 }
 
+void ChangeFeed::request(const ChangeRequest &request, const Endpoint &relay)
+{
+    sendDatagram(socket_, encodeRequest(request), relay);
+}
+
 }
--- a/src/gateway/change_follower.h
+++ b/src/gateway/change_follower.h
@@ -7,32 +7,80 @@
 namespace carawaypoint
 {
 
-/// Decides how a gateway applies change notices, and when it must watch the store itself. Does no I/O; the time is passed in.
+/// Decides how a gateway applies change notices, how it fills gaps, and when it must watch the store itself. Does no I/O; the time is passed
+/// in.
 ///
-/// If all gateways watched the store, the calls to it would grow with their number. Notices only save calls: a gateway that misses
-/// one or receives none requests the changes since its revision from the store.
+/// If all gateways watched the store, the calls to it would grow with their number. A gateway that misses a notice asks the relays of its zone
+/// for the changes, and the store only when they do not answer.
 class ChangeFollower
 {
 public:
-    /// Relays send a notice at least every 250 ms, so after this time three were lost or both relays are gone.
+    /// Relays send a notice at least every 250 ms, so after this time three were lost or the relay is gone.
     static constexpr Duration NoticeTimeout = milliseconds(900);
+    /// Same for gateways that are not relays: by then the second relay of the zone sends notices.
+    static constexpr Duration SecondRelayTimeout = milliseconds(1800);
+    /// A gap is not filled before this time, since datagrams may arrive out of order.
+    static constexpr Duration GapDelay = milliseconds(60);
+    /// Time for an answer of a relay.
+    static constexpr Duration RelayAnswerTimeout = milliseconds(250);
+    /// Requests to relays before the store is asked.
+    static constexpr unsigned MaxRelayRequests = 2;
 
     enum class Step : std::uint8_t {
         None, // the changes are known already
         Apply, // the changes continue from the known revision
-        CatchUp, // some changes are missing and must be fetched from the store
+        Gap, // some changes are missing
+    };
+    /// How to get what is missing.
+    enum class Source : std::uint8_t {
+        None, // nothing is missing, or an answer is awaited
+        Relay,
+        Store,
     };
 
-    /// @param revision revision up to which this gateway knows all changes.
-    Step applyNotice(const ChangeNotice &notice, std::uint64_t revision, TimePoint now);
+    /// @param revision revision up to which this gateway knows all changes; @param configVersion object version of its configuration.
+    Step applyNotice(const ChangeNotice &notice, std::uint64_t revision, std::uint64_t configVersion, TimePoint now);
+    /// Where to ask now for the changes after @p revision and the configuration after @p configVersion. Counts as asked.
+    Source nextSource(std::uint64_t revision, std::uint64_t configVersion, TimePoint now);
+    /// What is known may be old, and is not current before the next notice.
+    void requireNotice()
+    {
+        isNoticeRequired_ = true;
+    }
+    /// Whether everything that the notices have named is known.
+    bool isCurrent(std::uint64_t revision, std::uint64_t configVersion) const
+    {
+        return !areChangesMissing(revision) && !isConfigMissing(configVersion);
+    }
+    /// Whether a relay has a newer configuration, or may have one.
+    bool isConfigMissing(std::uint64_t configVersion) const
+    {
+        return isNoticeRequired_ || configVersion < namedConfigVersion_;
+    }
+    /// Whether a relay knows later changes, or may know some.
+    bool areChangesMissing(std::uint64_t revision) const
+    {
+        return isNoticeRequired_ || revision < namedRevision_;
+    }
     /// Whether relays send notices, so that the store need not be watched.
-    bool receivesNotices(TimePoint now) const
+    bool receivesNotices(TimePoint now, Duration timeout = NoticeTimeout) const
+    {
+        return lastNoticeAt_ && now - *lastNoticeAt_ < timeout;
+    }
+    /// Number of requests since the last time nothing was missing.
+    unsigned relayRequests() const
     {
-        return lastNoticeAt_ && now - *lastNoticeAt_ < NoticeTimeout;
+        return relayRequests_;
     }
 
 private:
     std::optional<TimePoint> lastNoticeAt_;
+    std::uint64_t namedRevision_ = 0; // highest revision in a notice
+    std::uint64_t namedConfigVersion_ = 0;
+    bool isNoticeRequired_ = false;
+    std::optional<TimePoint> missingSince_;
+    TimePoint askedAt_{};
+    unsigned relayRequests_ = 0;
 };
 
 }
--- a/src/gateway/change_notice.capnp.h
+++ b/src/gateway/change_notice.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(fc42e6044b39e2ec);
+CAPNP_DECLARE_SCHEMA(97efe798a976a8e9);
+CAPNP_DECLARE_SCHEMA(cd89128e5889dd09);
 CAPNP_DECLARE_SCHEMA(e06ebf1563207924);
 
 }  // namespace schemas
@@ -40,6 +42,36 @@
   };
 };
 
+struct ConfigUpdate {
+  ConfigUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97efe798a976a8e9, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ChangeRequest {
+  ChangeRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cd89128e5889dd09, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ChangeNotice {
   ChangeNotice() = delete;
 
@@ -48,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e06ebf1563207924, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e06ebf1563207924, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,6 +190,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class ConfigUpdate::Reader {
+public:
+  typedef ConfigUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBaseVersion() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDelta() const;
+  inline  ::capnp::Data::Reader getDelta() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigUpdate::Builder {
+public:
+  typedef ConfigUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBaseVersion();
+  inline void setBaseVersion( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDelta();
+  inline  ::capnp::Data::Builder getDelta();
+  inline void setDelta( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDelta(unsigned int size);
+  inline void adoptDelta(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDelta();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigUpdate::Pipeline {
+public:
+  typedef ConfigUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ChangeRequest::Reader {
+public:
+  typedef ChangeRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ChangeRequest::Builder {
+public:
+  typedef ChangeRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ChangeRequest::Pipeline {
+public:
+  typedef ChangeRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ChangeNotice::Reader {
 public:
   typedef ChangeNotice Reads;
@@ -188,6 +392,15 @@
 
   inline bool getIsComplete() const;
 
+  inline bool hasPackedChanges() const;
+  inline  ::capnp::Data::Reader getPackedChanges() const;
+
+  inline bool hasConfigUpdate() const;
+  inline  ::carawaypoint::wire::ConfigUpdate::Reader getConfigUpdate() const;
+
+  inline bool hasRequest() const;
+  inline  ::carawaypoint::wire::ChangeRequest::Reader getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -238,6 +451,27 @@
   inline bool getIsComplete();
   inline void setIsComplete(bool value);
 
+  inline bool hasPackedChanges();
+  inline  ::capnp::Data::Builder getPackedChanges();
+  inline void setPackedChanges( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPackedChanges(unsigned int size);
+  inline void adoptPackedChanges(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPackedChanges();
+
+  inline bool hasConfigUpdate();
+  inline  ::carawaypoint::wire::ConfigUpdate::Builder getConfigUpdate();
+  inline void setConfigUpdate( ::carawaypoint::wire::ConfigUpdate::Reader value);
+  inline  ::carawaypoint::wire::ConfigUpdate::Builder initConfigUpdate();
+  inline void adoptConfigUpdate(::capnp::Orphan< ::carawaypoint::wire::ConfigUpdate>&& value);
+  inline ::capnp::Orphan< ::carawaypoint::wire::ConfigUpdate> disownConfigUpdate();
+
+  inline bool hasRequest();
+  inline  ::carawaypoint::wire::ChangeRequest::Builder getRequest();
+  inline void setRequest( ::carawaypoint::wire::ChangeRequest::Reader value);
+  inline  ::carawaypoint::wire::ChangeRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::carawaypoint::wire::ChangeRequest>&& value);
+  inline ::capnp::Orphan< ::carawaypoint::wire::ChangeRequest> disownRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -256,6 +490,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypoint::wire::ConfigUpdate::Pipeline getConfigUpdate();
+  inline  ::carawaypoint::wire::ChangeRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -362,6 +598,96 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ConfigUpdate::Reader::getBaseVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigUpdate::Builder::getBaseVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigUpdate::Builder::setBaseVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigUpdate::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigUpdate::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigUpdate::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigUpdate::Reader::hasDelta() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigUpdate::Builder::hasDelta() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConfigUpdate::Reader::getDelta() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::getDelta() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigUpdate::Builder::setDelta( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::initDelta(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigUpdate::Builder::adoptDelta(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConfigUpdate::Builder::disownDelta() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ChangeRequest::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ChangeRequest::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ChangeRequest::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ChangeRequest::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ChangeRequest::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ChangeRequest::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ChangeNotice::Reader::getFromRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -466,6 +792,118 @@
       ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ChangeNotice::Reader::hasPackedChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ChangeNotice::Builder::hasPackedChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ChangeNotice::Reader::getPackedChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ChangeNotice::Builder::getPackedChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ChangeNotice::Builder::setPackedChanges( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ChangeNotice::Builder::initPackedChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ChangeNotice::Builder::adoptPackedChanges(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ChangeNotice::Builder::disownPackedChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ChangeNotice::Reader::hasConfigUpdate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ChangeNotice::Builder::hasConfigUpdate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypoint::wire::ConfigUpdate::Reader ChangeNotice::Reader::getConfigUpdate() const {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ConfigUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::carawaypoint::wire::ConfigUpdate::Builder ChangeNotice::Builder::getConfigUpdate() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ConfigUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::carawaypoint::wire::ConfigUpdate::Pipeline ChangeNotice::Pipeline::getConfigUpdate() {
+  return  ::carawaypoint::wire::ConfigUpdate::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void ChangeNotice::Builder::setConfigUpdate( ::carawaypoint::wire::ConfigUpdate::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::ConfigUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypoint::wire::ConfigUpdate::Builder ChangeNotice::Builder::initConfigUpdate() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ConfigUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ChangeNotice::Builder::adoptConfigUpdate(
+    ::capnp::Orphan< ::carawaypoint::wire::ConfigUpdate>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::ConfigUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypoint::wire::ConfigUpdate> ChangeNotice::Builder::disownConfigUpdate() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ConfigUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ChangeNotice::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ChangeNotice::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypoint::wire::ChangeRequest::Reader ChangeNotice::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ChangeRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::carawaypoint::wire::ChangeRequest::Builder ChangeNotice::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ChangeRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::carawaypoint::wire::ChangeRequest::Pipeline ChangeNotice::Pipeline::getRequest() {
+  return  ::carawaypoint::wire::ChangeRequest::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void ChangeNotice::Builder::setRequest( ::carawaypoint::wire::ChangeRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::ChangeRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypoint::wire::ChangeRequest::Builder ChangeNotice::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ChangeRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ChangeNotice::Builder::adoptRequest(
+    ::capnp::Orphan< ::carawaypoint::wire::ChangeRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::ChangeRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypoint::wire::ChangeRequest> ChangeNotice::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::ChangeRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/change_notice.h"
 
+#include "core/delta_compression.h"
 #include "gateway/change_notice.capnp.h"
 #include "protocol/packed_message.h"
 
@@ -16,7 +17,62 @@
 namespace
 {
 
-std::vector<std::byte> encodeWith(const ChangeNotice &notice, std::span<const ObjectEvent> changes, bool isComplete)
+/// A notice of a valid size does not expand to more than this.
+constexpr std::size_t MaxExpandedBytes = std::size_t{4} * 1024 * 1024;
+/// Part of a datagram for the fields of a notice other than its changes or its configuration update.
+constexpr std::size_t HeaderBytes = 256;
+constexpr std::size_t MaxContentBytes = MaxNoticeBytes - HeaderBytes;
+
+capnp::Data::Reader toData(std::span<const std::byte> bytes)
+{
+    return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
+}
+
+std::span<const std::byte> fromData(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const std::byte *>(data.begin()), data.size()};
+}
+
+void writeChanges(wire::ChangeNotice::Builder root, std::span<const ObjectEvent> changes)
+{
+    auto list = root.initChanges(static_cast<unsigned>(changes.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setName(changes[i].object.name);
+        list[i].setVersion(changes[i].object.version);
+        list[i].setIsRemoved(changes[i].isRemoved);
+        list[i].setValue(changes[i].object.value);
+    }
+}
+
+/// Registrations of servers resemble each other, so that many of them compress to a fraction of their size.
+std::optional<std::vector<std::byte>> packChanges(std::span<const ObjectEvent> changes)
+{
+    capnp::MallocMessageBuilder message;
+    writeChanges(message.initRoot<wire::ChangeNotice>(), changes);
+    const auto packed = packMessage(message);
+    return compressDelta({reinterpret_cast<const char *>(packed.data()), packed.size()}, {});
+}
+
+std::vector<ObjectEvent> readChanges(wire::ChangeNotice::Reader root)
+{
+    std::vector<ObjectEvent> changes;
+    for (const auto change : root.getChanges()) {
+        ObjectEvent event;
+        event.object.name = change.getName().cStr();
+        event.object.version = change.getVersion();
+        event.object.value = change.getValue().cStr();
+        event.isRemoved = change.getIsRemoved();
+        changes.push_back(std::move(event));
+    }
+    return changes;
+}
+
+kj::ArrayPtr<const kj::byte> toArray(std::string_view text)
+{
+    return kj::arrayPtr(reinterpret_cast<const kj::byte *>(text.data()), text.size());
+}
+
+std::vector<std::byte> encodePart(const ChangeNotice &notice, const std::optional<std::vector<std::byte>> &packedChanges)
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::ChangeNotice>();
@@ -25,46 +81,118 @@
     root.setConfigVersion(notice.configVersion);
     const auto unsettled = std::chrono::duration_cast<milliseconds>(notice.remainingDeferral).count();
     root.setUnsettledMs(static_cast<std::uint32_t>(std::max<std::int64_t>(0, unsettled)));
-    root.setIsComplete(isComplete);
-    auto list = root.initChanges(static_cast<unsigned>(changes.size()));
-    for (unsigned i = 0; i < list.size(); ++i) {
-        list[i].setName(changes[i].object.name);
-        list[i].setVersion(changes[i].object.version);
-        list[i].setIsRemoved(changes[i].isRemoved);
-        list[i].setValue(changes[i].object.value);
+    // Gateways of earlier versions do not read packed changes and must fetch them from the store.
+    root.setIsComplete(notice.isComplete && notice.changes.empty());
+    if (packedChanges) {
+        root.setPackedChanges(toData(*packedChanges));
+    }
+    if (notice.configUpdate && notice.configUpdate->delta.size() <= MaxContentBytes) {
+        auto update = root.initConfigUpdate();
+        update.setBaseVersion(notice.configUpdate->baseVersion);
+        update.setVersion(notice.configUpdate->version);
+        update.setDelta(toData(notice.configUpdate->delta));
     }
     return packMessage(message);
 }
 
+/// Index of the change nearest to the middle before which the changes may be divided: later changes must have higher versions than all
+/// before. Returns 0 when there is none.
+std::size_t findDivision(std::span<const ObjectEvent> changes)
+{
+    std::size_t division = 0;
+    std::uint64_t highest = 0;
+    for (std::size_t index = 0; index < changes.size(); ++index) {
+        const bool mayDivide = index > 0 && changes[index].object.version > highest;
+        const bool isBeforeMiddle = index <= changes.size() / 2;
+        if (mayDivide && (isBeforeMiddle || division == 0)) {
+            division = index;
+        }
+        highest = std::max(highest, changes[index].object.version);
+    }
+    return division;
+}
+
+void encodeParts(const ChangeNotice &notice, std::vector<std::vector<std::byte>> &parts)
+{
+    const auto packed = notice.changes.empty() ? std::nullopt : packChanges(notice.changes);
+    if (notice.changes.empty() || (packed && packed->size() <= MaxContentBytes)) {
+        parts.push_back(encodePart(notice, packed));
+        return;
+    }
+    const auto division = findDivision(notice.changes);
+    if (division == 0) {
+        auto truncated = notice;
+        truncated.changes.clear();
+        truncated.isComplete = false;
+        parts.push_back(encodePart(truncated, std::nullopt));
+        return;
+    }
+    auto first = notice;
+    auto second = notice;
+    first.changes.resize(division);
+    second.changes.erase(second.changes.begin(), second.changes.begin() + static_cast<std::ptrdiff_t>(division));
+    std::uint64_t border = notice.fromRevision;
+    for (const auto &change : first.changes) {
+        border = std::max(border, change.object.version);
+    }
+    first.toRevision = border;
+    second.fromRevision = border;
+    encodeParts(first, parts);
+    encodeParts(second, parts);
 }
 
-std::vector<std::byte> encodeNotice(const ChangeNotice &notice)
+}
+
+std::vector<std::vector<std::byte>> encodeNotice(const ChangeNotice &notice)
 {
-    auto bytes = encodeWith(notice, notice.changes, notice.isComplete);
-    return bytes.size() <= MaxNoticeBytes ? bytes : encodeWith(notice, {}, false);
+    std::vector<std::vector<std::byte>> parts;
+    encodeParts(notice, parts);
+    return parts;
 }
 
-std::optional<ChangeNotice> decodeNotice(std::span<const std::byte> bytes)
+std::vector<std::byte> encodeRequest(const ChangeRequest &request)
+{
+    capnp::MallocMessageBuilder message;
+    auto wireRequest = message.initRoot<wire::ChangeNotice>().initRequest();
+    wireRequest.setRevision(request.revision);
+    wireRequest.setConfigVersion(request.configVersion);
+    return packMessage(message);
+}
+
+std::optional<ChangeMessage> decodeChangeMessage(std::span<const std::byte> bytes)
 {
     try {
         kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
         capnp::PackedMessageReader message(in);
         const auto root = message.getRoot<wire::ChangeNotice>();
-        ChangeNotice notice;
+        ChangeMessage result;
+        if (root.hasRequest()) {
+            result.request = ChangeRequest{root.getRequest().getRevision(), root.getRequest().getConfigVersion()};
+            return result;
+        }
+        auto &notice = result.notice;
         notice.fromRevision = root.getFromRevision();
         notice.toRevision = root.getToRevision();
         notice.configVersion = root.getConfigVersion();
         notice.remainingDeferral = milliseconds(root.getUnsettledMs());
         notice.isComplete = root.getIsComplete();
-        for (const auto change : root.getChanges()) {
-            ObjectEvent event;
-            event.object.name = change.getName().cStr();
-            event.object.version = change.getVersion();
-            event.object.value = change.getValue().cStr();
-            event.isRemoved = change.getIsRemoved();
-            notice.changes.push_back(std::move(event));
+        notice.changes = readChanges(root);
+        if (root.hasPackedChanges()) {
+            const auto expanded = expandDelta(fromData(root.getPackedChanges()), {}, MaxExpandedBytes);
+            if (!expanded) {
+                return std::nullopt;
+            }
+            kj::ArrayInputStream packedIn(toArray(*expanded));
+            capnp::PackedMessageReader packed(packedIn);
+            notice.changes = readChanges(packed.getRoot<wire::ChangeNotice>());
+            notice.isComplete = true;
+        }
+        if (root.hasConfigUpdate()) {
+            const auto update = root.getConfigUpdate();
+            const auto delta = fromData(update.getDelta());
+            notice.configUpdate = ConfigUpdate{update.getBaseVersion(), update.getVersion(), {delta.begin(), delta.end()}};
         }
-        return notice;
+        return result;
     } catch (const kj::Exception &) {
         return std::nullopt;
     }
--- a/src/gateway/change_notice.h
+++ b/src/gateway/change_notice.h
@@ -7,11 +7,19 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace carawaypoint
 {
 
+/// A configuration as a difference from an earlier one.
+struct ConfigUpdate {
+    std::uint64_t baseVersion = 0; // object version of the earlier configuration; 0 when the update refers to none
+    std::uint64_t version = 0; // object version of the configuration
+    std::vector<std::byte> delta; // for expandDelta()
+};
+
 /// Changes of the server registrations between two revisions of the store, sent by a gateway that watches it.
 struct ChangeNotice {
     std::uint64_t fromRevision = 0;
@@ -19,14 +27,30 @@
     std::uint64_t configVersion = 0; // object version of the sender's configuration
     Duration remainingDeferral{}; // time for which the sender still defers removals after the store was unavailable
     std::vector<ObjectEvent> changes; // after fromRevision, in order; empty when only objects of other kinds changed
-    bool isComplete = true; // false when the changes exceeded the size of a datagram
+    bool isComplete = true; // false when one of the changes exceeds the size of a datagram
+    std::optional<ConfigUpdate> configUpdate{}; // only in notices without changes
+};
+
+/// Sent by a follower that misses changes or a configuration.
+struct ChangeRequest {
+    std::uint64_t revision = 0; // the sender knows the changes up to this store revision
+    std::uint64_t configVersion = 0; // object version of the sender's configuration
+};
+
+/// A datagram between a relay and a follower: a request, or else a notice.
+struct ChangeMessage {
+    ChangeNotice notice;
+    std::optional<ChangeRequest> request;
 };
 
-/// Maximum size of a datagram; a larger notice is sent without its changes.
-inline constexpr std::size_t MaxNoticeBytes = 32768;
+/// Maximum size of a datagram. Small enough that some of them in a row do not overflow the queue of a slow link.
+inline constexpr std::size_t MaxNoticeBytes = 16384;
 
-std::vector<std::byte> encodeNotice(const ChangeNotice &notice);
-/// Empty when the bytes are not a valid notice.
-std::optional<ChangeNotice> decodeNotice(std::span<const std::byte> bytes);
+/// The datagrams for @p notice. Changes that exceed one datagram are divided; each part continues at the revision where the one before it
+/// ends. A configuration update that is too large is left out.
+std::vector<std::vector<std::byte>> encodeNotice(const ChangeNotice &notice);
+std::vector<std::byte> encodeRequest(const ChangeRequest &request);
+/// Empty when the bytes are not a valid datagram.
+std::optional<ChangeMessage> decodeChangeMessage(std::span<const std::byte> bytes);
 
 }
--- /dev/null
+++ b/src/gateway/change_relay.cpp
@@ -0,0 +1,181 @@
+#include "gateway/change_relay.h"
+
+#include "observe/log.h"
+#include "observe/metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+/// Interval between notices of a relay when nothing changes.
+constexpr Duration HeartbeatInterval = milliseconds(250);
+/// Answers to requests are limited, since the sender of a datagram may be forged.
+constexpr Duration AnswerInterval = milliseconds(250);
+constexpr unsigned MaxAnswersPerInterval = 200;
+
+}
+
+ChangeRelay::ChangeRelay(boost::asio::io_context &io, Hooks hooks)
+    : hooks_(std::move(hooks))
+    , feed_(io)
+{
+}
+
+std::error_code ChangeRelay::open(const Endpoint &endpoint)
+{
+    return feed_.open(endpoint, [this](const ChangeMessage &message, const Endpoint &sender) { handleMessage(message, sender); });
+}
+
+void ChangeRelay::setPlan(const RelayPlan &plan)
+{
+    plan_ = plan;
+}
+
+void ChangeRelay::handleMessage(const ChangeMessage &message, const Endpoint &sender)
+{
+    const auto now = clock_.now();
+    if (message.request) {
+        answer(*message.request, sender, now);
+    } else {
+        handleNotice(message.notice, now);
+    }
+}
+
+void ChangeRelay::handleNotice(const ChangeNotice &notice, TimePoint now)
+{
+    const auto known = hooks_.known();
+    const auto step = follower_.applyNotice(notice, known.revision, known.configVersion, now);
+    if (!hooks_.isFollowing()) {
+        return;
+    }
+    hooks_.onNotice(notice);
+    if (notice.configUpdate && notice.configUpdate->version > known.configVersion) {
+        applyConfigUpdate(*notice.configUpdate);
+    }
+    if (step == ChangeFollower::Step::Apply) {
+        changes_.add(notice.fromRevision, notice.toRevision, notice.changes);
+        hooks_.onChanges(notice);
+    }
+    askForMissing(now);
+}
+
+void ChangeRelay::applyConfigUpdate(const ConfigUpdate &update)
+{
+    auto text = configs_.restore(update);
+    if (!text) {
+        metricsRegistry().count(CounterMetric::PlatformErrors, "config_update");
+        logLine(LogLevel::Debug, "configuration update does not fit", {{"base", update.baseVersion}, {"object_version", update.version}});
+        return;
+    }
+    configs_.add(update.version, *text);
+    hooks_.onConfig(update.version, *std::move(text));
+}
+
+/// Sends the changes and the configuration that the sender misses, as far as they are kept.
+void ChangeRelay::answer(const ChangeRequest &request, const Endpoint &sender, TimePoint now)
+{
+    if (now - answersSince_ >= AnswerInterval) {
+        answersSince_ = now;
+        answers_ = 0;
+    }
+    const auto known = hooks_.known();
+    if (!plan_.isRelay() || ++answers_ > MaxAnswersPerInterval) {
+        return;
+    }
+    if (auto notice = changes_.since(request.revision)) {
+        notice->configVersion = known.configVersion;
+        notice->remainingDeferral = known.remainingDeferral;
+        feed_.send(*notice, std::span(&sender, 1));
+    }
+    if (auto update = configs_.updateFrom(request.configVersion)) {
+        auto notice = makeNotice();
+        notice.configUpdate = std::move(update);
+        feed_.send(notice, std::span(&sender, 1));
+    }
+}
+
+ChangeNotice ChangeRelay::makeNotice() const
+{
+    const auto known = hooks_.known();
+    ChangeNotice notice;
+    notice.fromRevision = known.revision;
+    notice.toRevision = known.revision;
+    notice.configVersion = known.configVersion;
+    notice.remainingDeferral = known.remainingDeferral;
+    return notice;
+}
+
+void ChangeRelay::send(const ChangeNotice &notice, TimePoint now)
+{
+    if (hooks_.isFollowing()) {
+        return;
+    }
+    publishedAt_ = now;
+    std::vector<Endpoint> receivers;
+    receivers.reserve(plan_.changeReceivers().size());
+    for (const auto &peer : plan_.changeReceivers()) {
+        receivers.push_back(peer.changes);
+    }
+    if (!receivers.empty()) {
+        feed_.send(notice, receivers);
+    }
+}
+
+void ChangeRelay::publishChanges(std::uint64_t from, std::span<const ObjectEvent> changes, TimePoint now)
+{
+    auto notice = makeNotice();
+    notice.fromRevision = from;
+    notice.changes.assign(changes.begin(), changes.end());
+    changes_.add(notice.fromRevision, notice.toRevision, changes);
+    send(notice, now);
+}
+
+void ChangeRelay::publishList(TimePoint now)
+{
+    const auto notice = makeNotice();
+    changes_.reset(notice.toRevision);
+    send(notice, now);
+}
+
+void ChangeRelay::publishConfig(std::string text, TimePoint now)
+{
+    auto notice = makeNotice();
+    configs_.add(notice.configVersion, std::move(text));
+    notice.configUpdate = configs_.updateFrom(configs_.previousVersion());
+    send(notice, now);
+}
+
+void ChangeRelay::sendHeartbeat(TimePoint now)
+{
+    if (plan_.isRelay() && now - publishedAt_ >= HeartbeatInterval) {
+        send(makeNotice(), now);
+    }
+}
+
+void ChangeRelay::askForMissing(TimePoint now)
+{
+    const auto known = hooks_.known();
+    if (!hooks_.isFollowing()) {
+        return;
+    }
+    const auto source = follower_.nextSource(known.revision, known.configVersion, now);
+    if (source == ChangeFollower::Source::None) {
+        return;
+    }
+    const auto &relays = plan_.reportReceivers();
+    logLine(LogLevel::Debug, "changes are missing",
+            {{"revision", known.revision}, {"object_version", known.configVersion}, {"requests", follower_.relayRequests()}});
+    if (source == ChangeFollower::Source::Store || relays.empty()) {
+        hooks_.askStore();
+        return;
+    }
+    const auto &relay = relays[follower_.relayRequests() % relays.size()];
+    feed_.request({known.revision, known.configVersion}, relay.changes);
+}
+
+}
--- a/src/gateway/datagrams.cpp
+++ b/src/gateway/datagrams.cpp
@@ -38,7 +38,7 @@
             break;
         }
         if (!error) {
-            handler(std::span(space).first(count));
+            handler(std::span(space).first(count), {sender.address().to_string(), sender.port()});
         }
     }
 }
--- a/src/gateway/datagrams.h
+++ b/src/gateway/datagrams.h
@@ -16,7 +16,7 @@
 /// Opens a non-blocking datagram socket at @p endpoint.
 std::error_code openDatagramSocket(boost::asio::ip::udp::socket &socket, const Endpoint &endpoint);
 
-using DatagramHandler = std::function<void(std::span<const std::byte>)>;
+using DatagramHandler = std::function<void(std::span<const std::byte>, const Endpoint &sender)>;
 
 /// Passes each datagram of up to @p maxBytes to @p handler until the socket is closed. Ignores receive errors, such as those that report
 /// a failed earlier send, since the next message replaces a lost one.
--- a/src/gateway/fleet_records.cpp
+++ b/src/gateway/fleet_records.cpp
@@ -28,8 +28,11 @@
 
 std::string encodeGateway(const PeerGateway &gateway, std::uint64_t process)
 {
-    return boost::json::serialize(
-        boost::json::object{{"peer", gateway.address.toString()}, {"changes", gateway.changes.toString()}, {"zone", gateway.zone.str()}, {"process", process}});
+    return boost::json::serialize(boost::json::object{{"peer", gateway.address.toString()},
+                                                      {"changes", gateway.changes.toString()},
+                                                      {"zone", gateway.zone.str()},
+                                                      {"link_mbps", gateway.linkMbps},
+                                                      {"process", process}});
 }
 
 std::optional<PeerGateway> decodeGateway(std::string_view text)
@@ -42,6 +45,7 @@
     reader.read("peer", address);
     // Gateways of earlier versions do not receive notices and write no such field.
     reader.read("changes", changes, true);
+    reader.read("link_mbps", gateway.linkMbps, true);
     reader.readId("zone", gateway.zone);
     gateway.address = Endpoint::parse(address);
     gateway.changes = Endpoint::parse(changes);
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -91,6 +91,9 @@
                 exchange_.setPeers(peers);
             });
         };
+        hooks.requestLoad = [this] {
+            asio::post(context_.io, [this] { asio::post(control_, [this, load = exchange_.fleetLoad()] { fleet_.setLoad(load); }); });
+        };
         return hooks;
     }
 
--- a/src/gateway/kind_watcher.cpp
+++ b/src/gateway/kind_watcher.cpp
@@ -12,8 +12,8 @@
 /// Delay after the first failure; doubled for each further one.
 constexpr Duration InitialRetryDelay = milliseconds(150);
 constexpr unsigned MaxDoublings = 6;
-/// Watch duration for filling a gap, whose changes are in the store already.
-constexpr Duration CatchUpWait = milliseconds(1);
+/// Watch duration for changes that are in the store already, such as those that fill a gap.
+constexpr Duration ConfirmingWait = milliseconds(1);
 
 }
 
@@ -30,6 +30,13 @@
     startNextCall();
 }
 
+void KindWatcher::startSuspended()
+{
+    isSuspended_ = true;
+    mayListStale_ = true;
+    startNextCall();
+}
+
 void KindWatcher::stop()
 {
     isStopped_ = true;
@@ -59,6 +66,8 @@
 {
     isSuspended_ = false;
     isCatchingUp_ = false;
+    isConfirming_ = true;
+    mustList_ = mustList_ || std::exchange(isListing_, false);
     ++generation_;
     timer_.cancel();
     startNextCall();
@@ -96,7 +105,8 @@
 {
     mustList_ = false;
     isListing_ = true;
-    store_.list(settings_.kind, [self = shared_from_this(), generation = generation_](std::error_code error, ListResult result) {
+    const bool isStale = std::exchange(mayListStale_, false);
+    auto handler = [self = shared_from_this(), generation = generation_, isStale](std::error_code error, ListResult result) {
         if (generation != self->generation_) {
             return;
         }
@@ -109,18 +119,25 @@
         }
         self->failures_ = 0;
         self->revision_ = result.revision;
+        self->isListStale_ = isStale;
         ++self->listCount_;
         self->hooks_.onList(std::move(result.objects));
         // A hook may have started a new chain of calls.
         if (generation == self->generation_) {
             self->startNextCall();
         }
-    });
+    };
+    if (isStale) {
+        store_.listStale(settings_.kind, std::move(handler));
+    } else {
+        store_.list(settings_.kind, std::move(handler));
+    }
 }
 
 void KindWatcher::watch()
 {
-    store_.watch(settings_.kind, revision_, isSuspended_ ? CatchUpWait : settings_.wait,
+    const bool isConfirming = std::exchange(isConfirming_, false);
+    store_.watch(settings_.kind, revision_, isSuspended_ || isConfirming ? ConfirmingWait : settings_.wait,
                  [self = shared_from_this(), generation = generation_](std::error_code error, const WatchResult &result) {
                      if (generation != self->generation_) {
                          return;
--- a/src/gateway/kind_watcher.h
+++ b/src/gateway/kind_watcher.h
@@ -36,12 +36,14 @@
     KindWatcher(const boost::asio::any_io_executor &executor, ObjectStore &store, Settings settings, Hooks hooks);
 
     void start();
+    /// Lists from a read that may be some seconds old, and does not watch until resume().
+    void startSuspended();
     void stop();
     /// Lists again immediately; the answer to a call in flight is ignored.
     void relist();
     /// Stops watching. Returns false, without effect, while a list is due or in progress.
     bool suspend();
-    /// Watches again, from the known revision.
+    /// Watches again, from the known revision. The first call does not wait for a change, so that its answer confirms what is known.
     void resume();
     /// While suspended: fetches the changes since the known revision from the store once.
     void catchUp();
@@ -56,6 +58,11 @@
     {
         return mustList_ || isListing_;
     }
+    /// Whether the last list may have been some seconds old when it was read.
+    bool isListStale() const
+    {
+        return isListStale_;
+    }
     /// Store revision up to which all changes are known.
     std::uint64_t revision() const
     {
@@ -99,6 +106,9 @@
     bool isSuspended_ = false;
     bool isCatchingUp_ = false;
     bool isStopped_ = false;
+    bool mayListStale_ = false;
+    bool isListStale_ = false;
+    bool isConfirming_ = false; // the next watch call does not wait
     unsigned failures_ = 0;
     std::uint64_t generation_ = 0; // of the current chain of calls; answers to calls of earlier chains are ignored
 };
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -20,7 +20,7 @@
 /// A report older than this is excluded from sums, since its gateway may be gone.
 constexpr Duration ReportTimeout = seconds(1);
 
-/// Mean age of counts that arrive through relays: half an interval at the gateway and at each relay, less since two relays send.
+/// Mean age of counts that arrive through relays: half an interval at the gateway and at each relay.
 constexpr Duration RelayedCountAge = milliseconds(250);
 
 /// Subtracts the requests and tokens in @p own from @p loads.
@@ -39,6 +39,28 @@
     return loads;
 }
 
+void addUnmet(std::vector<UnmetLoad> &sums, std::span<const UnmetLoad> loads)
+{
+    for (const auto &load : loads) {
+        const auto found = std::find_if(sums.begin(), sums.end(), [&load](const UnmetLoad &sum) { return sum.pool == load.pool; });
+        if (found == sums.end()) {
+            sums.push_back(load);
+        } else {
+            found->requests += load.requests;
+        }
+    }
+}
+
+std::vector<BackendLoad> toList(std::unordered_map<VmId, BackendLoad> sums)
+{
+    std::vector<BackendLoad> loads;
+    loads.reserve(sums.size());
+    for (auto &[server, load] : sums) {
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
 void addLoads(std::unordered_map<VmId, BackendLoad> &sums, std::span<const BackendLoad> loads)
 {
     for (const auto &load : loads) {
@@ -62,7 +84,7 @@
 {
     const auto error = openDatagramSocket(socket_, endpoint);
     if (!error) {
-        auto receive = [this](std::span<const std::byte> bytes) {
+        auto receive = [this](std::span<const std::byte> bytes, const Endpoint &) {
             if (auto report = decodeReport(bytes)) {
                 applyReport(*std::move(report));
             }
@@ -75,7 +97,8 @@
 
 void LoadExchange::setPeers(std::span<const PeerGateway> peers)
 {
-    relayPlan_ = RelayPlan(context_.settings.id, context_.settings.zone, peers);
+    const auto &settings = context_.settings;
+    relayPlan_ = RelayPlan({settings.id, settings.zone, settings.peer, settings.changes, settings.linkMbps}, peers);
     context_.countAge = relayPlan_.isDirect() ? Duration() : RelayedCountAge;
 }
 
@@ -103,12 +126,14 @@
         zoneReports_[report.gateway] = {report, context_.now()};
         context_.demand.recordReport(report.gateway.str(), report.requestsStarted, context_.now());
     }
+    unmetLoads_[report.gateway] = {report.unmet, context_.now()};
     context_.loadTracker.setPeerLoads(report.gateway, std::move(report.loads), context_.now());
 }
 
 void LoadExchange::applySum(GatewayLoadReport report)
 {
-    const bool isOwnZone = report.zone == context_.settings.zone;
+    // The sum of the fleet includes this gateway's own zone, and so its own requests.
+    const bool isOwnZone = report.zone == context_.settings.zone || report.isFleetSum;
     // A relay receives the individual reports of its zone.
     if (relayPlan_.isDirect() || (isOwnZone && relayPlan_.isRelay())) {
         return;
@@ -116,7 +141,8 @@
     if (relayPlan_.isRelay()) {
         otherZoneSums_[report.zone] = {report, context_.now()};
     }
-    const MemberId source("zone." + report.zone.str());
+    const MemberId source(report.isFleetSum ? "fleet" : "zone." + report.zone.str());
+    unmetLoads_[source] = {report.unmet, context_.now()};
     context_.demand.recordReport(source.str(), report.requestsStarted, context_.now());
     auto loads = isOwnZone ? subtractLoads(std::move(report.loads), context_.loadTracker.ownLoads()) : std::move(report.loads);
     context_.loadTracker.setPeerLoads(source, std::move(loads), context_.now());
@@ -129,28 +155,72 @@
     sum.zone = context_.settings.zone;
     sum.requestsStarted = context_.requestsStarted;
     addLoads(sums, context_.loadTracker.ownLoads());
+    sum.unmet = context_.demand.unmetLoads(context_.now());
     for (const auto &[gateway, received] : zoneReports_) {
         if (context_.now() - received.at < ReportTimeout) {
             addLoads(sums, received.report.loads);
             sum.requestsStarted += received.report.requestsStarted;
+            addUnmet(sum.unmet, received.report.unmet);
         }
     }
-    for (auto &[server, load] : sums) {
-        sum.loads.push_back(std::move(load));
-    }
+    sum.loads = toList(std::move(sums));
     return sum;
 }
 
-void LoadExchange::sendSums()
+GatewayLoadReport LoadExchange::fleetSum(const GatewayLoadReport &zoneSum) const
 {
-    const auto sum = zoneSum();
-    send(sum, relayPlan_.zonePeers());
-    send(sum, relayPlan_.otherZoneRelays());
+    auto sum = zoneSum;
+    sum.isFleetSum = true;
+    std::unordered_map<VmId, BackendLoad> sums;
+    addLoads(sums, zoneSum.loads);
     for (const auto &[zone, received] : otherZoneSums_) {
         if (context_.now() - received.at < ReportTimeout) {
-            send(received.report, relayPlan_.zonePeers());
+            addLoads(sums, received.report.loads);
+            sum.requestsStarted += received.report.requestsStarted;
+            addUnmet(sum.unmet, received.report.unmet);
         }
     }
+    sum.loads = toList(std::move(sums));
+    return sum;
+}
+
+FleetLoad LoadExchange::fleetLoad() const
+{
+    FleetLoad result;
+    if (!context_.snapshot || !context_.snapshot->config()) {
+        return result;
+    }
+    auto unmet = context_.demand.unmetLoads(context_.now());
+    for (const auto &[source, received] : unmetLoads_) {
+        if (context_.now() - received.at < ReportTimeout) {
+            addUnmet(unmet, received.loads);
+        }
+    }
+    for (const auto &[id, service] : context_.snapshot->config()->services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto &model : service.engine->models) {
+            ModelLoad load{id, model.id, 0, 0};
+            for (const auto &target : context_.snapshot->targets(id, model.id)) {
+                const auto requests = context_.loadTracker.requestsAt(target.server);
+                result.requestsByHead[target.server] = requests;
+                load.requests += requests;
+            }
+            for (const auto &each : unmet) {
+                load.unmetRequests += each.pool == ServerPool(id, model.id) ? each.requests : 0;
+            }
+            result.models.push_back(std::move(load));
+        }
+    }
+    return result;
+}
+
+void LoadExchange::sendSums()
+{
+    const auto sum = zoneSum();
+    send(sum, relayPlan_.otherZoneRelays());
+    send(fleetSum(sum), relayPlan_.zonePeers());
 }
 
 void LoadExchange::send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers)
@@ -181,8 +251,10 @@
         GatewayLoadReport own;
         own.loads = context_.loadTracker.ownLoads();
         own.requestsStarted = context_.requestsStarted;
+        own.unmet = context_.demand.unmetLoads(context_.now());
         send(own, relayPlan_.reportReceivers());
-        if (relayPlan_.isRelay()) {
+        // The relays of a zone send in turn, so that their number does not multiply what the other gateways receive.
+        if (relayPlan_.isRelay() && ++rounds_ % RelayPlan::RelaysPerZone == relayPlan_.relayRank()) {
             sendSums();
         }
     }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -32,6 +32,8 @@
         return hasSeenTraffic_;
     }
     void stop();
+    /// Load of the fleet's models at this gateway's replicas and in the latest reports of others.
+    FleetLoad fleetLoad() const;
 
 private:
     /// Identifies the latest report of a gateway, so that older ones are ignored.
@@ -45,6 +47,8 @@
     void applySum(GatewayLoadReport report);
     void sendSums();
     GatewayLoadReport zoneSum() const;
+    /// Sum of all zones, for the gateways of this relay's zone.
+    GatewayLoadReport fleetSum(const GatewayLoadReport &zoneSum) const;
     void send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers);
 
     GatewayContext &context_;
@@ -57,10 +61,16 @@
         GatewayLoadReport report;
         TimePoint at{};
     };
+    struct ReceivedUnmet {
+        std::vector<UnmetLoad> loads;
+        TimePoint at{};
+    };
     std::map<MemberId, Received> zoneReports_; // at a relay: latest reports of the gateways of its zone
     std::map<ZoneId, Received> otherZoneSums_; // at a relay: latest sums of the other zones
     std::map<MemberId, ReportId> latestReports_;
     bool hasSeenTraffic_ = false;
+    std::size_t rounds_ = 0; // own reports sent
+    std::map<MemberId, ReceivedUnmet> unmetLoads_; // latest unmet loads, by gateway or by the source of a sum
 };
 
 }
--- a/src/gateway/load_report.capnp
+++ b/src/gateway/load_report.capnp
@@ -14,11 +14,19 @@
     isProgressing @4 :Bool; # some stream at the server had an event recently
 }
 
+struct UnmetLoad {
+    service @0 :Text;
+    model @1 :Text; # empty for plain services
+    requests @2 :Float32; # that would be in progress if they had not been rejected for lack of capacity
+}
+
 struct LoadReport {
     gateway @0 :Text;
     process @1 :UInt64; # incarnation of the process
     sequence @2 :UInt64;
     loads @3 :List(ServerLoad);
     requestsBegun @4 :UInt64; # since the process started
-    zone @5 :Text; # set in sums: availability zone whose gateways are summed up
+    zone @5 :Text; # set in sums: availability zone whose gateways are summed up, or of the sender if isFleetSum is set
+    unmet @6 :List(UnmetLoad);
+    isFleetSum @7 :Bool; # the gateways of all zones are summed up
 }
--- a/src/gateway/load_report.capnp.h
+++ b/src/gateway/load_report.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(de6952d1b4451645);
+CAPNP_DECLARE_SCHEMA(c2e5d08dc553c091);
 CAPNP_DECLARE_SCHEMA(fc1da4c1689683b4);
 
 }  // namespace schemas
@@ -40,6 +41,21 @@
   };
 };
 
+struct UnmetLoad {
+  UnmetLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c2e5d08dc553c091, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadReport {
   LoadReport() = delete;
 
@@ -48,7 +64,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,6 +174,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class UnmetLoad::Reader {
+public:
+  typedef UnmetLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline float getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UnmetLoad::Builder {
+public:
+  typedef UnmetLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline float getRequests();
+  inline void setRequests(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UnmetLoad::Pipeline {
+public:
+  typedef UnmetLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadReport::Reader {
 public:
   typedef LoadReport Reads;
@@ -190,6 +302,11 @@
   inline bool hasZone() const;
   inline  ::capnp::Text::Reader getZone() const;
 
+  inline bool hasUnmet() const;
+  inline  ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Reader getUnmet() const;
+
+  inline bool getIsFleetSum() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -248,6 +365,16 @@
   inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
+  inline bool hasUnmet();
+  inline  ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Builder getUnmet();
+  inline void setUnmet( ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Builder initUnmet(unsigned int size);
+  inline void adoptUnmet(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>> disownUnmet();
+
+  inline bool getIsFleetSum();
+  inline void setIsFleetSum(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -366,6 +493,88 @@
       ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UnmetLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UnmetLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UnmetLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UnmetLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UnmetLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UnmetLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UnmetLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UnmetLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UnmetLoad::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UnmetLoad::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UnmetLoad::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UnmetLoad::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UnmetLoad::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UnmetLoad::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UnmetLoad::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UnmetLoad::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline float UnmetLoad::Reader::getRequests() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float UnmetLoad::Builder::getRequests() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UnmetLoad::Builder::setRequests(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadReport::Reader::hasGateway() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -510,6 +719,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReport::Reader::hasUnmet() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasUnmet() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getUnmet() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getUnmet() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setUnmet( ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initUnmet(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptUnmet(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownUnmet() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::UnmetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::getIsFleetSum() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getIsFleetSum() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIsFleetSum(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -7,9 +7,17 @@
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
+#include <cmath>
+
 namespace carawaypoint
 {
 
+namespace
+{
+/// More unmet requests of one pool than any fleet can have; a report with more is invalid.
+constexpr double MaxUnmetRequests = 1e6;
+}
+
 std::vector<std::byte> encodeReport(const GatewayLoadReport &report)
 {
     capnp::MallocMessageBuilder message;
@@ -19,6 +27,13 @@
     root.setSequence(report.sequence);
     root.setRequestsBegun(report.requestsStarted);
     root.setZone(report.zone.str());
+    root.setIsFleetSum(report.isFleetSum);
+    auto unmet = root.initUnmet(static_cast<unsigned>(report.unmet.size()));
+    for (unsigned i = 0; i < unmet.size(); ++i) {
+        unmet[i].setService(report.unmet[i].pool.first.str());
+        unmet[i].setModel(report.unmet[i].pool.second.str());
+        unmet[i].setRequests(static_cast<float>(report.unmet[i].requests));
+    }
     auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
         loads[i].setServer(report.loads[i].server.str());
@@ -42,6 +57,13 @@
         report.sequence = root.getSequence();
         report.requestsStarted = root.getRequestsBegun();
         report.zone = ZoneId(root.getZone().cStr());
+        report.isFleetSum = root.getIsFleetSum();
+        for (const auto unmet : root.getUnmet()) {
+            const double requests = unmet.getRequests();
+            if (std::isfinite(requests) && requests > 0 && requests <= MaxUnmetRequests) {
+                report.unmet.push_back({{ServiceId(unmet.getService().cStr()), ModelId(unmet.getModel().cStr())}, requests});
+            }
+        }
         for (const auto load : root.getLoads()) {
             report.loads.push_back({VmId(load.getServer().cStr()), load.getRequests(), load.getUnreadTokens(), load.getIsStalled(), load.getIsProgressing()});
         }
--- a/src/gateway/load_report_codec.h
+++ b/src/gateway/load_report_codec.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "fleet/model_demand.h"
 #include "gateway/backend_load_tracker.h"
+#include "gateway/fleet_demand.h"
 
 #include <cstdint>
 #include <optional>
@@ -10,14 +12,16 @@
 namespace carawaypoint
 {
 
-/// Requests in progress at backend servers from one gateway or from all gateways of an availability zone.
+/// Requests in progress at backend servers from one gateway, from all gateways of an availability zone, or from the whole fleet.
 struct GatewayLoadReport {
     MemberId gateway;
     std::uint64_t process = 0;
     std::uint64_t sequence = 0;
     std::vector<BackendLoad> loads;
     std::uint64_t requestsStarted = 0;
-    ZoneId zone{}; // set in a sum over a zone; empty in the report of one gateway
+    ZoneId zone{}; // set in sums; empty in the report of one gateway
+    std::vector<UnmetLoad> unmet{}; // only pools that rejected requests recently
+    bool isFleetSum = false; // sums up all zones; zone is that of the sender
 };
 
 /// Maximum size of a datagram; sufficient for the sums of some thousand replicas.
--- a/src/gateway/relay_plan.cpp
+++ b/src/gateway/relay_plan.cpp
@@ -3,6 +3,7 @@
 #include "membership/rendezvous.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 
 namespace carawaypoint
@@ -11,9 +12,21 @@
 namespace
 {
 
-std::vector<MemberId> relaysOf(const ZoneId &zone, std::span<const MemberId> members)
+/// Members of a zone by the bandwidth of their links, the fastest first.
+using MembersByLink = std::map<unsigned, std::vector<MemberId>, std::greater<>>;
+
+/// Relays carry the traffic of a whole zone, so that gateways with slow links are chosen only when there are no others.
+std::vector<MemberId> relaysOf(const ZoneId &zone, const MembersByLink &membersByLink)
 {
-    return chooseByRendezvous(members, zone.str(), RelayPlan::RelaysPerZone);
+    std::vector<MemberId> relays;
+    for (const auto &[linkMbps, members] : membersByLink) {
+        const auto chosen = chooseByRendezvous(members, zone.str(), RelayPlan::RelaysPerZone - relays.size());
+        relays.insert(relays.end(), chosen.begin(), chosen.end());
+        if (relays.size() >= RelayPlan::RelaysPerZone) {
+            break;
+        }
+    }
+    return relays;
 }
 
 bool contains(std::span<const MemberId> members, const MemberId &id)
@@ -23,29 +36,35 @@
 
 }
 
-RelayPlan::RelayPlan(const MemberId &self, const ZoneId &zone, std::span<const PeerGateway> peers)
+RelayPlan::RelayPlan(const PeerGateway &self, std::span<const PeerGateway> peers)
     : isDirect_(peers.size() <= MaxDirectPeers)
 {
     if (isDirect_) {
         reportReceivers_.assign(peers.begin(), peers.end());
         return;
     }
-    std::map<ZoneId, std::vector<MemberId>> membersByZone;
-    membersByZone[zone].push_back(self);
+    const auto &zone = self.zone;
+    std::map<ZoneId, MembersByLink> membersByZone;
+    membersByZone[zone][self.linkMbps].push_back(self.id);
     for (const auto &peer : peers) {
-        membersByZone[peer.zone].push_back(peer.id);
+        membersByZone[peer.zone][peer.linkMbps].push_back(peer.id);
     }
     std::map<ZoneId, std::vector<MemberId>> relays;
     for (const auto &[name, members] : membersByZone) {
         relays[name] = relaysOf(name, members);
     }
-    isRelay_ = contains(relays[zone], self);
+    const auto &own = relays[zone];
+    isRelay_ = contains(own, self.id);
+    relayRank_ = static_cast<std::size_t>(std::find(own.begin(), own.end(), self.id) - own.begin());
     for (const auto &peer : peers) {
         const bool isPeerRelay = contains(relays[peer.zone], peer.id);
         // Relays of the same zone do not exchange sums: each receives the original reports, and forwarded sums would loop between them.
         if (peer.zone == zone && isRelay_ && !isPeerRelay) {
             zonePeers_.push_back(peer);
         }
+        if (peer.zone == zone && isRelay_) {
+            changeReceivers_.push_back(peer);
+        }
         if (isPeerRelay) {
             (peer.zone == zone ? reportReceivers_ : otherZoneRelays_).push_back(peer);
         }
--- /dev/null
+++ b/src/gateway/store_mirror.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "gateway/change_relay.h"
+#include "gateway/fleet_platform.h"
+#include "gateway/kind_watcher.h"
+#include "gateway/server_registry.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <system_error>
+
+namespace carawaypoint
+{
+
+/// A gateway's copy of the configuration and of the registered servers. Used on the control thread only.
+///
+/// In a small fleet every gateway watches the store. In a larger one, one relay of each availability zone and the holder of the lease do; the
+/// others follow them, and watch the store themselves when they receive nothing.
+class StoreMirror
+{
+public:
+    struct Hooks {
+        std::function<void()> onChange;
+        /// Called after each call to the store with its error, if any.
+        std::function<void(std::string_view what, std::error_code error)> onStoreResult;
+    };
+
+    StoreMirror(boost::asio::io_context &io, const Clock &clock, FleetPlatform &platform, Hooks hooks);
+
+    /// Starts to receive change notices at @p changes.
+    std::error_code open(const Endpoint &changes);
+    /// Reads configuration and servers. The plan has to be set before.
+    /// @param isNewFleet no gateway has held the lease yet, so that the other gateways may not be known.
+    void start(bool isNewFleet);
+    void stop();
+    /// Whether start() was called.
+    bool isStarted() const
+    {
+        return isStarted_;
+    }
+    void setPlan(const RelayPlan &plan, bool isLeaseHolder);
+    /// Starts and ends watching the store, sends heartbeats, and asks for missing changes.
+    void tick(bool isLeaseHolder);
+    void recordStoreResult(std::error_code error);
+    /// Lists the servers again.
+    void relistServers();
+    std::uint64_t serverListCount() const
+    {
+        return serverWatcher_->listCount();
+    }
+
+    /// Whether configuration and servers are known and were confirmed since the start.
+    bool isReady() const
+    {
+        return config_ && isConfigConfirmed_ && isServersConfirmed_;
+    }
+    /// Whether this gateway watches the store itself.
+    bool isWatching() const
+    {
+        return isStarted_ && !serverWatcher_->isSuspended();
+    }
+    /// Since when it does.
+    TimePoint watchingSince() const
+    {
+        return watchingSince_;
+    }
+    /// Whether the configuration or the servers changed since the last call.
+    bool takeChange();
+    const ServiceConfigPtr &config() const
+    {
+        return config_;
+    }
+    const ServerMap &servers() const
+    {
+        return registry_.servers();
+    }
+    const RelayPlan &plan() const
+    {
+        return relay_.plan();
+    }
+
+private:
+    KindWatcher::Hooks configHooks();
+    KindWatcher::Hooks serverHooks();
+    ChangeRelay::Hooks relayHooks();
+    bool mustWatch(bool isLeaseHolder, TimePoint now) const;
+    void updateWatchMode(bool isLeaseHolder, TimePoint now);
+    void confirmIfCurrent();
+    void fetchMissing();
+    /// Decodes and applies a configuration if it is newer. Returns whether it was.
+    bool applyConfig(std::uint64_t objectVersion, const StoredObject &object);
+    void applyServers(std::span<const StoredObject> objects);
+    void applyServerEvents(std::span<const ObjectEvent> events);
+
+    const Clock &clock_;
+    FleetPlatform &platform_;
+    Hooks hooks_;
+    std::shared_ptr<KindWatcher> configWatcher_;
+    std::shared_ptr<KindWatcher> serverWatcher_;
+    ChangeRelay relay_;
+    ServerRegistry registry_;
+    ServiceConfigPtr config_;
+    std::uint64_t configVersion_ = 0; // object version of the configuration
+    std::uint64_t appliedRevision_ = 0; // all changes of servers up to it are applied
+    bool isConfigChanged_ = false;
+    bool isConfigConfirmed_ = false;
+    bool isServersConfirmed_ = false;
+    bool isStarted_ = false;
+    bool isStopping_ = false;
+    TimePoint watchingSince_{};
+    TimePoint followingSince_{};
+    TimePoint heldUntil_{}; // in a new fleet: until then only relays watch, since the others may not be known yet
+    TimePoint serversAnsweredAt_{}; // when the store last answered a list or watch of servers
+};
+
+}
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -44,6 +44,8 @@
     {"carawaypoint_config_generation", "", "Generation of the configuration in force"},
     {"carawaypoint_active_alarms", "", "Active alarms"},
     {"carawaypoint_dropped_log_lines", "", "Log lines dropped by a full queue"},
+    {"carawaypoint_model_requests", "model", "Requests in progress at the model's replicas, of all daemons; at the holder of the lease"},
+    {"carawaypoint_model_unmet_requests", "model", "Requests that would also be in progress if none had been rejected; at the holder of the lease"},
 };
 // In the order of HistogramMetric.
 constexpr MetricInfo HistogramInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -39,6 +39,8 @@
     ConfigGeneration, // no label
     ActiveAlarms, // no label
     DroppedLogLines, // no label
+    ModelRequests, // model
+    ModelUnmetRequests, // model
 };
 
 /// Histograms in seconds. The comment names the label and, after a colon, its values.
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -10,6 +10,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace carawaypoint
 {
 
@@ -368,6 +370,21 @@
     EXPECT_TRUE(decoded->loads[0].isStalled);
 }
 
+// Guards against demand that is lost on its way to the replica controller, and against forged values that would move all servers.
+TEST(LoadReportCodec, encodesUnmetLoadAndRejectsInvalidValues)
+{
+    GatewayLoadReport report{MemberId("g"), 5, 6, {}, 9, ZoneId("a")};
+    report.isFleetSum = true;
+    report.unmet = {{{ServiceId("s"), ModelId("m")}, 2.5}, {{ServiceId("s"), ModelId("n")}, -4}, {{ServiceId("s"), ModelId("n")}, 1e30}};
+    report.unmet.push_back({{ServiceId("s"), ModelId("n")}, std::numeric_limits<double>::quiet_NaN()});
+    const auto decoded = decodeReport(encodeReport(report));
+    ASSERT_TRUE(decoded);
+    EXPECT_TRUE(decoded->isFleetSum);
+    ASSERT_EQ(decoded->unmet.size(), 1U);
+    EXPECT_EQ(decoded->unmet.front().pool.second, ModelId("m"));
+    EXPECT_EQ(decoded->unmet.front().requests, 2.5);
+}
+
 // Guards against a crash on a datagram that is not a load report.
 TEST(LoadReportCodec, rejectsInvalidBytes)
 {
@@ -391,19 +408,39 @@
     for (const auto &self : all) {
         auto peers = all;
         std::erase(peers, self);
-        const RelayPlan plan(self.id, self.zone, peers);
+        const RelayPlan plan(self, peers);
         EXPECT_FALSE(plan.isDirect());
         EXPECT_EQ(plan.reportReceivers().size(), plan.isRelay() ? 1U : 2U);
         EXPECT_EQ(plan.zonePeers().size(), plan.isRelay() ? 18U : 0U);
+        EXPECT_EQ(plan.changeReceivers().size(), plan.isRelay() ? 19U : 0U);
         EXPECT_EQ(plan.otherZoneRelays().size(), 6U);
         relays += plan.isRelay() ? 1 : 0;
     }
     EXPECT_EQ(relays, 8U);
-    const RelayPlan small(all[0].id, all[0].zone, std::span(all).subspan(1, 6));
+    const RelayPlan small(all[0], std::span(all).subspan(1, 6));
     EXPECT_TRUE(small.isDirect());
     EXPECT_EQ(small.reportReceivers().size(), 6U);
 }
 
+// Guards against a relay on a slow link, which carries the traffic of its whole zone and loses the datagrams.
+TEST(RelayPlan, gatewaysWithFastLinksBecomeRelays)
+{
+    std::vector<PeerGateway> all;
+    for (int number = 0; number < 40; ++number) {
+        all.push_back(
+            {MemberId("g" + std::to_string(number)), ZoneId("z"), {"10.0.0.1", static_cast<std::uint16_t>(number + 1)}, {}, number == 17 ? 200U : 20U});
+    }
+    unsigned slowRelays = 0;
+    for (const auto &self : all) {
+        auto peers = all;
+        std::erase(peers, self);
+        const RelayPlan plan(self, peers);
+        EXPECT_EQ(plan.isRelay() && plan.relayRank() == 0, self.linkMbps == 200);
+        slowRelays += plan.isRelay() && plan.relayRank() == 1 ? 1 : 0;
+    }
+    EXPECT_EQ(slowRelays, 1U);
+}
+
 TEST(RequestParser, parsesNumbersAndKeys)
 {
     EXPECT_EQ(parseNumber("12"), 12U);
@@ -427,13 +464,14 @@
 
 TEST(GatewaySettings, readsEveryKey)
 {
-    const auto result = parseGatewaySettings("[process]\nid = g\nzone = a\nmax_descriptors = 500\n[listen]\ncallers = 127.0.0.1:1\n"
+    const auto result = parseGatewaySettings("[process]\nid = g\nzone = a\nmax_descriptors = 500\nlink_mbps = 20.5\n[listen]\ncallers = 127.0.0.1:1\n"
                                              "readiness = 127.0.0.1:2\nmetrics = 127.0.0.1:3\npeer = 127.0.0.1:4\nchanges = 127.0.0.1:6\n[store]\n"
                                              "address = 127.0.0.1:5\n[serving]\ndrain_time = 8s\nstall_time = 6000ms\nretry_share = 0.3\n"
                                              "retry_slack = 77\nretry_window = 12s\n[log]\nlevel = debug\n",
                                              "g.ini");
     ASSERT_THAT(result.errors, IsEmpty());
     EXPECT_EQ(result.settings.maxDescriptors, 500U);
+    EXPECT_EQ(result.settings.linkMbps, 20U);
     EXPECT_EQ(result.settings.callers.port, 1);
     EXPECT_EQ(result.settings.readiness.port, 2);
     EXPECT_EQ(result.settings.metrics.port, 3);
