Let the lease of the replica controller expire while its VM is suspended

Cause: the lease was timed with the steady clock, which stands still while a VM is suspended. A holder that woke after another gateway had taken the lease believed for up to 2.8 s that it still held it, and sent orders of the old term. Servers refuse a join below the highest epoch that they have seen, but not an open, close or leave. Ruled out: reading the lease anew before each order, which costs a store call an order. Change: the lease uses the time since boot. The membership agent, which had the same clock as a private function, shares it.

--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -33,6 +33,13 @@
     }
 };
 
+/// The time since boot. Unlike the steady clock, it advances while the VM is suspended: what expires meanwhile must not seem valid afterwards.
+class BootTimeClock : public Clock
+{
+public:
+    TimePoint now() const override;
+};
+
 /// A clock that advances only through advance() and setNow(), for tests and experiments.
 class ManualClock : public Clock
 {
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -70,7 +70,7 @@
                        recordStoreResult(what, error);
                    }})
     , lease_(platform.store(),
-             clock,
+             leaseClock_,
              platform.daemonKind(),
              ControlLease(settings.id, process),
              LeaseKeeper::Settings{.firstTakeDelay = firstLeaseDelay(settings.id)},
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -73,6 +73,7 @@
     bool isPublishPending_ = false; // a change was not published yet, since the mirror was not ready
     bool isStoreReachable_ = true;
 
+    BootTimeClock leaseClock_; // a lease expires while this VM is suspended
     LeaseKeeper lease_;
     ReplicaController controller_;
     std::uint64_t activeTerm_ = 0; // term in which the controller runs; 0 while it does not run
--- a/src/membership/membership_agent.cpp
+++ b/src/membership/membership_agent.cpp
@@ -5,7 +5,6 @@
 #include "observe/log.h"
 
 #include <algorithm>
-#include <ctime>
 #include <set>
 
 namespace carawaypoint
@@ -18,12 +17,10 @@
 // many crashes at the same time cost at most this many times N calls per second.
 constexpr unsigned PushedSignalsPerSecond = 4;
 
-/// Time since boot. Unlike the steady clock, it advances while the VM is suspended.
-Duration bootTime()
+/// Time for which the VM has been suspended since boot, apart from a constant.
+Duration suspendedTime(TimePoint steadyNow)
 {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return seconds(time.tv_sec) + microseconds(time.tv_nsec / 1000);
+    return BootTimeClock().now() - steadyNow;
 }
 
 }
@@ -45,7 +42,7 @@
         , table_(options_.table, options_.self, random_, clock.now())
         , timer_(control)
         , zoneList_(store, options_.self.zone)
-        , bootOffset_(bootTime() - clock.now().time_since_epoch())
+        , suspendedTime_(suspendedTime(clock.now()))
     {
         table_.setSeeds(options_.seeds);
     }
@@ -190,11 +187,11 @@
 
     void detectSuspend(TimePoint now)
     {
-        const auto offset = bootTime() - now.time_since_epoch();
-        if (offset - bootOffset_ > options_.table.period * options_.table.pausePeriods) {
+        const auto offset = suspendedTime(now);
+        if (offset - suspendedTime_ > options_.table.period * options_.table.pausePeriods) {
             table_.recordPause(now);
         }
-        bootOffset_ = offset;
+        suspendedTime_ = offset;
     }
 
     void recordGenerations()
@@ -239,7 +236,7 @@
     boost::asio::steady_timer timer_;
     ZoneMemberList zoneList_;
     PeerCalls *calls_ = nullptr;
-    Duration bootOffset_;
+    Duration suspendedTime_;
     TimePoint nextSeedRefresh_{};
     TimePoint pushWindowStart_{};
     unsigned pushedSignalCount_ = 0;
