Bound what a faulty backend server can make a gateway hold

An event without end had no bound of its own, and responses together could use 16 MiB for each request on VMs of 160 MB. Change: progress is an event with data, or an event that grows by a kilobyte; 512 KiB an event; a quarter of the memory for all incomplete responses; 64 KiB of unparsed bytes a connection; 8 interim responses; 50 ms for the body of a rejection. An exception ends the datagram, handler or session that caused it, with a log line: before, one in the datagram loop made the gateway deaf.

--- a/src/config/gateway_settings.h
+++ b/src/config/gateway_settings.h
@@ -28,6 +28,7 @@
     double retryShare = 0; // retries for each request, within retryWindow
     double retrySlack = 0; // retries beyond that share, of all daemons within retryWindow
     Duration retryWindow{};
+    double memoryMb = 256; // megabytes of memory that the process may use
     unsigned linkMbps = 0; // bandwidth of the VM's network link
     unsigned maxDescriptors = 0; // file descriptors that the process may open
     std::string logLevel; // for parseLogLevel()
--- a/src/gateway/backend_connection_pool.cpp
+++ b/src/gateway/backend_connection_pool.cpp
@@ -11,6 +11,9 @@
 /// A server that does not acknowledge data for this long counts as unreachable.
 constexpr Duration UserTimeout = seconds(3);
 constexpr std::size_t MaxIdlePerServer = 32;
+/// Received bytes that the parser of a response has not consumed yet. Exceeds the longest header; a chunk header or trailers without end
+/// would otherwise use memory without limit.
+constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
 
 }
 
@@ -54,6 +57,7 @@
     }
     const auto executor = co_await asio::this_coro::executor;
     auto connection = std::make_shared<Connection>(asio::ip::tcp::socket(executor));
+    connection->buffer().max_size(MaxUnparsedBytes);
     const asio::ip::tcp::endpoint endpoint(address, target.address.port);
     connection->limit(timeout);
     const auto [failure] = co_await connection->socket().async_connect(endpoint, UseResult);
--- a/src/gateway/datagrams.cpp
+++ b/src/gateway/datagrams.cpp
@@ -1,10 +1,12 @@
 #include "gateway/datagrams.h"
 
 #include "core/connection.h"
+#include "observe/log.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
+#include <exception>
 #include <vector>
 
 namespace carawaypoint
@@ -12,6 +14,22 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// An exception ends only the processing of this datagram. Otherwise one malformed message would make the gateway ignore all later ones.
+void handleDatagram(const DatagramHandler &handler, std::span<const std::byte> bytes, const Endpoint &sender)
+{
+    try {
+        handler(bytes, sender);
+    } catch (const std::exception &error) {
+        logLine(LogLevel::Error, "datagram could not be processed",
+                {{"sender", sender.toString()}, {"bytes", static_cast<std::uint64_t>(bytes.size())}, {"error", error.what()}});
+    }
+}
+
+}
+
 std::error_code openDatagramSocket(asio::ip::udp::socket &socket, const Endpoint &endpoint)
 {
     boost::system::error_code error;
@@ -38,7 +56,7 @@
             break;
         }
         if (!error) {
-            handler(std::span(space).first(count), {sender.address().to_string(), sender.port()});
+            handleDatagram(handler, std::span(space).first(count), {sender.address().to_string(), sender.port()});
         }
     }
 }
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -19,22 +19,31 @@
     return line;
 }
 
-std::optional<std::uint64_t> findId(std::string_view event)
+std::optional<std::uint64_t> parseId(std::string_view text)
 {
-    while (!event.empty()) {
-        auto line = takeLine(event);
-        if (!line.starts_with("id:")) {
-            continue;
-        }
-        line.remove_prefix(3);
-        if (line.starts_with(' ')) {
-            line.remove_prefix(1);
+    if (text.starts_with(' ')) {
+        text.remove_prefix(1);
+    }
+    std::uint64_t id = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+    return error == std::errc{} && end == text.data() + text.size() ? std::optional(id) : std::nullopt;
+}
+
+EventSplitter::Event parseEvent(std::string_view bytes)
+{
+    static constexpr std::string_view IdField = "id:";
+    static constexpr std::string_view DataField = "data:";
+    EventSplitter::Event event{bytes, std::nullopt};
+    bool hasId = false;
+    for (auto rest = bytes; !rest.empty();) {
+        const auto line = takeLine(rest);
+        event.hasData = event.hasData || line.starts_with(DataField);
+        if (!hasId && line.starts_with(IdField)) {
+            hasId = true;
+            event.id = parseId(line.substr(IdField.size()));
         }
-        std::uint64_t id = 0;
-        const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-        return error == std::errc{} && end == line.data() + line.size() ? std::optional(id) : std::nullopt;
     }
-    return std::nullopt;
+    return event;
 }
 
 /// The position after the first blank line; npos when there is none.
@@ -72,8 +81,7 @@
         return std::nullopt;
     }
     position_ += end;
-    const auto bytes = text.substr(0, end);
-    return Event{bytes, findId(bytes)};
+    return parseEvent(text.substr(0, end));
 }
 
 std::string_view EventSplitter::rest() const
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -15,6 +15,7 @@
     struct Event {
         std::string_view bytes; // including the blank line; valid until the next call of feed() or next()
         std::optional<std::uint64_t> id; // empty when the event has no id or a non-numeric one
+        bool hasData = false; // false for comments, which servers may send to keep the connection alive
     };
 
     void feed(std::string_view bytes);
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -30,7 +30,57 @@
 /// Share of the remaining time after which an idempotent request without a response is sent to another server.
 constexpr double RetryAfterShare = 0.3;
 constexpr unsigned MaxFailedConnects = 3;
+/// Time for the body of a response which states that the request did not run.
+constexpr Duration RejectionBodyTimeout = milliseconds(50);
 constexpr unsigned MaxStaleResponses = 2;
+constexpr unsigned MaxInterimResponses = 8;
+constexpr unsigned SwitchingProtocols = 101;
+
+/// Counts while it exists, also when an exception ends its scope.
+class ScopedCount
+{
+public:
+    explicit ScopedCount(unsigned &count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ScopedCount(const ScopedCount &) = delete;
+    ScopedCount &operator=(const ScopedCount &) = delete;
+    ~ScopedCount()
+    {
+        --count_;
+    }
+
+private:
+    unsigned &count_;
+};
+
+/// Keeps a request in the load tracker while it exists, also when an exception ends its scope.
+class TrackedAttempt
+{
+public:
+    TrackedAttempt(BackendLoadTracker &tracker, const VmId &server, ReroutableCall *stream, unsigned &pendingPrefillTokens)
+        : tracker_(tracker)
+        , server_(server)
+        , stream_(stream)
+        , pendingPrefillTokens_(pendingPrefillTokens)
+    {
+        tracker_.recordRequestStart(server_, stream_, pendingPrefillTokens_);
+    }
+    TrackedAttempt(const TrackedAttempt &) = delete;
+    TrackedAttempt &operator=(const TrackedAttempt &) = delete;
+    ~TrackedAttempt()
+    {
+        tracker_.recordRequestEnd(server_, stream_, std::exchange(pendingPrefillTokens_, 0));
+    }
+
+private:
+    BackendLoadTracker &tracker_;
+    const VmId &server_;
+    ReroutableCall *stream_;
+    unsigned &pendingPrefillTokens_;
+};
 
 }
 
@@ -40,6 +90,7 @@
     , request_(std::move(request))
     , receivedAt_(receivedAt)
     , snapshot_(context.snapshot)
+    , buffered_(context.responseMemory)
 {
     entry_.id = std::string(request_[context_.names.attemptId]);
 }
@@ -192,7 +243,7 @@
 asio::awaitable<bool> ForwardCall::run()
 {
     const auto self = shared_from_this();
-    ++context_.requestsInProgress;
+    const ScopedCount inProgress(context_.requestsInProgress);
     ++context_.requestsStarted;
     context_.demand.recordRequestStart(context_.now());
     bool isKept = false;
@@ -230,7 +281,6 @@
         isKept = co_await sendFailureResponse();
         writeLog();
     }
-    --context_.requestsInProgress;
     co_return isKept;
 }
 
@@ -279,22 +329,12 @@
     isRerouting_ = false;
     ReroutableCall *stream = route_->kind == CallKind::Stream ? this : nullptr;
     pendingPrefillTokens_ = stream == nullptr ? 0 : promptTokens();
-    context_.loadTracker.recordRequestStart(target.server, stream, pendingPrefillTokens_);
     const auto attemptStartedAt = context_.now();
-    BackendLink link;
-    const auto error = co_await context_.pool.acquire(target, std::min(ConnectTimeout, remaining()), link);
     auto end = AttemptEnd::NotSent;
-    if (error) {
-        context_.loadTracker.recordFailure(target.server, context_.now());
-    } else if (isCallerGone_) {
-        link.connection->close();
-        end = AttemptEnd::CallerLost;
-    } else {
-        activeLink_ = link;
-        end = co_await exchange(link, target);
-        activeLink_.reset();
+    {
+        const TrackedAttempt tracked(context_.loadTracker, target.server, stream, pendingPrefillTokens_);
+        end = co_await connectAndExchange(target);
     }
-    context_.loadTracker.recordRequestEnd(target.server, stream, std::exchange(pendingPrefillTokens_, 0));
     if (end == AttemptEnd::Failed) {
         mayHaveRun_ = true;
         if (!isCallerGone_ && !isRerouting_) {
@@ -307,6 +347,24 @@
     co_return end;
 }
 
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::connectAndExchange(ServingTarget target)
+{
+    BackendLink link;
+    const auto error = co_await context_.pool.acquire(target, std::min(ConnectTimeout, remaining()), link);
+    if (error) {
+        context_.loadTracker.recordFailure(target.server, context_.now());
+        co_return AttemptEnd::NotSent;
+    }
+    if (isCallerGone_) {
+        link.connection->close();
+        co_return AttemptEnd::CallerLost;
+    }
+    activeLink_ = link;
+    const auto end = co_await exchange(link, target);
+    activeLink_.reset();
+    co_return end;
+}
+
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::exchange(BackendLink &link, ServingTarget target)
 {
     ++sentAttempts_;
@@ -329,8 +387,9 @@
     const auto &header = response->get();
     const bool isNotRun = header.result_int() == 421 || header.find(context_.names.notExecuted) != header.end();
     if (isNotRun) {
-        std::string ignored;
-        if (co_await readBody(link, *response, ignored)) {
+        // The body says nothing more, and another server can have the request meanwhile.
+        link.connection->limit(RejectionBodyTimeout);
+        if (co_await discardBody(link, *response)) {
             keepOrClose(link, *response);
         } else {
             link.connection->close();
@@ -381,25 +440,36 @@
 
 asio::awaitable<bool> ForwardCall::readHeader(BackendLink &link, std::optional<Response> &response)
 {
-    // A late response to an earlier request may precede the expected one; it is recognised by its id.
-    for (unsigned stale = 0; stale <= MaxStaleResponses; ++stale) {
+    unsigned staleCount = 0;
+    unsigned interimCount = 0;
+    while (staleCount <= MaxStaleResponses && interimCount <= MaxInterimResponses) {
         response.emplace();
         response->body_limit(boost::none);
         response->skip(request_.method() == http::verb::head);
         const auto [error, bytes] = co_await http::async_read_header(link.connection->socket(), link.connection->buffer(), *response, UseResult);
-        if (error) {
+        const auto status = response->get().result_int();
+        if (error || status == SwitchingProtocols) {
             co_return false;
         }
+        if (status / 100 == 1) {
+            ++interimCount;
+            continue;
+        }
+        // A late response to an earlier request may precede the expected one; it is recognised by its id. Without an id, an error response
+        // is accepted only from a connection that has had no other request, since it may answer an earlier one.
         const auto id = response->get()[context_.names.attemptId];
-        const bool mayLackId = id.empty() && response->get().result_int() / 100 != 2;
-        if (id == entry_.id || mayLackId) {
+        const bool mayLackId = !link.isReused && staleCount == 0 && status / 100 != 2;
+        if (id == entry_.id || (id.empty() && mayLackId)) {
             co_return true;
         }
-        std::string ignored;
-        const bool isRead = co_await readBody(link, *response, ignored);
+        if (id.empty()) {
+            co_return false;
+        }
+        const bool isRead = co_await discardBody(link, *response);
         if (!isRead || response->need_eof()) {
             co_return false;
         }
+        ++staleCount;
     }
     co_return false;
 }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -57,16 +57,23 @@
     void recordRejection(const ServerPool &pool);
 
     asio::awaitable<AttemptEnd> attempt(ServingTarget target);
+    asio::awaitable<AttemptEnd> connectAndExchange(ServingTarget target);
     asio::awaitable<AttemptEnd> exchange(BackendLink &link, ServingTarget target);
     asio::awaitable<bool> sendRequest(BackendLink &link, const ServingTarget &target);
     asio::awaitable<bool> readHeader(BackendLink &link, std::optional<Response> &response);
     asio::awaitable<bool> readBody(BackendLink &link, Response &response, std::string &body);
+    asio::awaitable<bool> discardBody(BackendLink &link, Response &response);
     asio::awaitable<AttemptEnd> relayCompleteResponse(BackendLink &link, Response &response);
     asio::awaitable<AttemptEnd> relayStream(BackendLink &link, Response &response);
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
     asio::awaitable<bool> writeCaller(std::string bytes);
     void keepOrClose(BackendLink &link, Response &response);
-    std::string collectEvents(EventSplitter &splitter);
+    /// Complete events of a stream.
+    struct EventBatch {
+        std::string bytes; // of events that the caller does not have yet
+        bool hasData = false; // some event has data, also one that the caller has
+    };
+    EventBatch collectEvents(EventSplitter &splitter);
 
     bool mayRetry(AttemptEnd end);
     void failWith(ResultCode code, std::string_view reason);
@@ -89,6 +96,7 @@
 
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
+    MemoryBudget::Reservation buffered_; // response bytes that wait for more
     unsigned pendingPrefillTokens_ = 0; // prompt tokens of the current attempt until its first event
     unsigned sentAttempts_ = 0; // attempts that reached a server
     unsigned failedConnects_ = 0; // attempts without a connection
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -17,6 +17,11 @@
 {
 
 constexpr std::size_t MaxResponseBytes = std::size_t{16} * 1024 * 1024;
+/// Bytes of a response that nobody needs, before its connection is closed instead.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{64} * 1024;
+constexpr std::size_t MaxEventBytes = std::size_t{512} * 1024;
+/// An incomplete event counts as progress when it grows by this much. A stalled server may send a few bytes now and then.
+constexpr std::size_t EventGrowthBytes = 1024;
 /// The connection of a caller that accepts no bytes for this long is closed.
 constexpr Duration CallerWriteTimeout = seconds(5);
 /// Servers close idle connections after a keep-alive time that they may state in full seconds; the pool closes them before that.
@@ -33,7 +38,26 @@
         response.get().body().size = space.size();
         const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
         body.append(space.data(), space.size() - response.get().body().size);
-        if ((error && error != http::error::need_buffer) || body.size() > MaxResponseBytes) {
+        const bool isTooLarge = body.size() > MaxResponseBytes || !buffered_.resize(body.size());
+        if ((error && error != http::error::need_buffer) || isTooLarge) {
+            buffered_.resize(0);
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+/// Reads the rest of a response that is not forwarded, so that its connection can be used again. Returns false when it is too long.
+asio::awaitable<bool> ForwardCall::discardBody(BackendLink &link, Response &response)
+{
+    std::array<char, 8192> space{};
+    std::size_t total = 0;
+    while (!response.is_done()) {
+        response.get().body().data = space.data();
+        response.get().body().size = space.size();
+        const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
+        total += space.size() - response.get().body().size;
+        if ((error && error != http::error::need_buffer) || total > MaxDiscardedBytes) {
             co_return false;
         }
     }
@@ -92,26 +116,27 @@
     co_return isWritten ? AttemptEnd::Answered : AttemptEnd::CallerLost;
 }
 
-/// Returns the complete events after the last one that was forwarded.
-std::string ForwardCall::collectEvents(EventSplitter &splitter)
+ForwardCall::EventBatch ForwardCall::collectEvents(EventSplitter &splitter)
 {
-    std::string events;
+    EventBatch batch;
     while (const auto event = splitter.next()) {
+        batch.hasData = batch.hasData || event->hasData;
         if (event->id && lastEventId_ && *event->id <= *lastEventId_) {
             continue;
         }
         if (event->id) {
             lastEventId_ = event->id;
         }
-        events += event->bytes;
+        batch.bytes += event->bytes;
     }
-    return events;
+    return batch;
 }
 
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::relayStream(BackendLink &link, Response &response)
 {
     EventSplitter splitter;
     std::array<char, 8192> space{};
+    std::size_t bytesSinceProgress = 0;
     const VmId server(entry_.server);
     while (!response.is_done()) {
         response.get().body().data = space.data();
@@ -119,13 +144,21 @@
         const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
         const auto count = space.size() - response.get().body().size;
         if (count > 0) {
-            context_.loadTracker.recordProgress(server);
-            context_.loadTracker.recordPrefillEnd(server, std::exchange(pendingPrefillTokens_, 0));
             splitter.feed({space.data(), count});
-            const auto events = collectEvents(splitter);
+            const auto batch = collectEvents(splitter);
+            bytesSinceProgress += count;
+            if (batch.hasData || bytesSinceProgress >= EventGrowthBytes) {
+                bytesSinceProgress = 0;
+                context_.loadTracker.recordProgress(server);
+                context_.loadTracker.recordPrefillEnd(server, std::exchange(pendingPrefillTokens_, 0));
+            }
+            if (splitter.rest().size() > MaxEventBytes || !buffered_.resize(splitter.rest().size())) {
+                link.connection->close();
+                co_return AttemptEnd::Failed;
+            }
             bool isWritten = true;
-            if (!events.empty()) {
-                isWritten = co_await writeEvents(events, response);
+            if (!batch.bytes.empty()) {
+                isWritten = co_await writeEvents(batch.bytes, response);
             }
             if (!isWritten) {
                 link.connection->close();
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "gateway/backend_load_tracker.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/fleet_retry_budget.h"
+#include "gateway/memory_budget.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_detector.h"
 #include "gateway/wire_names.h"
@@ -18,11 +19,15 @@
 namespace carawaypoint
 {
 
+/// Share of the process's memory for incomplete responses; the rest is for requests, connections and the state of the fleet.
+inline constexpr double ResponseMemoryShare = 0.25;
+
 /// State shared by the sessions of a gateway. Used on the traffic thread only.
 struct GatewayContext {
     GatewayContext(GatewaySettings processSettings, const WireNames &wireNames)
         : settings(std::move(processSettings))
         , names(wireNames)
+        , responseMemory(static_cast<std::size_t>(settings.memoryMb * ResponseMemoryShare * 1024 * 1024))
         , retryBudget({settings.retryShare, settings.retrySlack, settings.retryWindow})
     {
     }
@@ -40,6 +45,7 @@
     BackendLoadTracker loadTracker;
     FleetDemand demand;
     Duration countAge{}; // mean age of other gateways' counts; zero when they report directly to this one
+    MemoryBudget responseMemory;
     FleetRetryBudget retryBudget;
     RequestLog log;
     RetryDetector retryDetector;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include "gateway/fleet_control.h"
 #include "gateway/gateway_server.h"
 #include "gateway/load_exchange.h"
+#include "gateway/run_loop.h"
 #include "gateway/status_server.h"
 #include "observe/log.h"
 
@@ -69,7 +70,7 @@
         fleet_.start();
         auto work = boost::asio::make_work_guard(context_.io);
         std::thread traffic([this] { runTraffic(); });
-        control_.run();
+        runLoop(control_, "control");
         context_.io.stop();
         traffic.join();
         logLine(LogLevel::Info, "gateway stopped");
@@ -117,7 +118,7 @@
     void runTraffic()
     {
         tickLoadTracker(0);
-        context_.io.run();
+        runLoop(context_.io, "traffic");
     }
 
     void tickLoadTracker(std::size_t count)
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace carawaypoint
 {
@@ -71,9 +72,19 @@
         if (sessions_.size() >= maxSessions_) {
             closeOldestIdle();
         }
+        startSession(std::move(socket));
+    }
+}
+
+/// An exception, such as one for lack of memory, ends only this session. Otherwise no further connection would be accepted.
+void GatewayServer::startSession(asio::ip::tcp::socket socket)
+{
+    try {
         auto session = std::make_shared<GatewaySession>(context_, *this, std::move(socket));
         sessions_.emplace(session.get(), session);
         asio::co_spawn(context_.io, session->run(), asio::detached);
+    } catch (const std::exception &error) {
+        logLine(LogLevel::Error, "cannot serve a connection", {{"error", error.what()}});
     }
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -33,6 +33,7 @@
 
 private:
     asio::awaitable<void> acceptAll();
+    void startSession(asio::ip::tcp::socket socket);
     void closeOldestIdle();
 
     GatewayContext &context_;
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <exception>
 
 namespace carawaypoint
 {
@@ -39,6 +40,17 @@
 asio::awaitable<void> GatewaySession::run()
 {
     const auto self = shared_from_this();
+    try {
+        co_await serveRequests();
+    } catch (const std::exception &error) {
+        logLine(LogLevel::Error, "connection of a caller closed after an unexpected error", {{"error", error.what()}});
+        connection_->close();
+    }
+    server_.remove(*this);
+}
+
+asio::awaitable<void> GatewaySession::serveRequests()
+{
     boost::system::error_code ignored;
     connection_->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     connection_->setUserTimeout(CallerUserTimeout);
@@ -62,7 +74,6 @@
         }
     }
     co_await closeGently();
-    server_.remove(*this);
 }
 
 asio::awaitable<bool> GatewaySession::waitForRequest()
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -31,6 +31,7 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    asio::awaitable<void> serveRequests();
     CallerLimits limits() const;
     asio::awaitable<bool> waitForRequest();
     asio::awaitable<bool> readRequest(Parser &parser);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -25,10 +25,18 @@
 }
 
 GatewayTest::~GatewayTest()
+{
+    stopGateway();
+}
+
+void GatewayTest::stopGateway()
 {
     if (thread_.joinable()) {
         context_->io.stop();
         thread_.join();
+        work_.reset();
+        server_.reset();
+        context_.reset();
     }
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -22,6 +22,8 @@
 
     /// Starts the gateway with @p backends, which serve both the model and the plain service.
     void start(const std::vector<Endpoint> &backends);
+    /// Ends the gateway, which may then be started with other backends.
+    void stopGateway();
     /// Runs @p action on the traffic thread and waits until it has completed.
     void runOnTrafficThread(const std::function<void()> &action);
     TestConnection connect() const;
