Keep servers with a model that needs them at its next peak

The controller saw one at its low point, drained a replica of six for the other and lacked it at the next peak. Before traffic it also staged the other model on every host: on hosts that keep one model this replaced their own weights, so that a server that restarted could rejoin only after a load of 12 to 16 s. Change: a model gives servers only if it can spare them at the highest load of the last 8 to 16 s; no move in the first 4 s of a term; a second model is staged only where hosts keep two.

--- a/src/fleet/capacity_balancer.cpp
+++ b/src/fleet/capacity_balancer.cpp
@@ -58,7 +58,7 @@
         if (demand.servers <= given->second) {
             return false;
         }
-        lowestDonor = std::min(lowestDonor, demand.coverageAfter(-given->second));
+        lowestDonor = std::min(lowestDonor, demand.peakCoverageAfter(-given->second));
     }
     lowestAfter = std::min(lowestAfter, lowestDonor);
     if (candidate.move.loadsFromStore > 0 && (before >= CapacityBalancer::CoverageForLoads || lowestDonor < CapacityBalancer::SufficientCoverage)) {
--- a/src/fleet/capacity_balancer.h
+++ b/src/fleet/capacity_balancer.h
@@ -33,7 +33,8 @@
     unsigned loadsFromStore = 0; // servers that would load the weights from the weight store
 };
 
-/// Chooses servers to move from models with spare capacity to a model whose requests need more. Does no I/O and keeps no state.
+/// Chooses servers to move from models with spare capacity to a model whose requests need more. Does no I/O and keeps no state. A model has
+/// spare capacity if it needs less also at the highest load of the recent past.
 ///
 /// Without moves, a model that loses replicas faster than they are repaired rejects its requests while the replicas of another model
 /// are idle.
--- a/src/fleet/model_demand.h
+++ b/src/fleet/model_demand.h
@@ -27,11 +27,14 @@
     ModelId model;
     double servers = 0; // servers in replicas that serve or are being formed
     double weight = 1; // servers needed, or a value in proportion to it
+    double peakWeight = 0; // same at the highest load of the recent past; 0 when not known
 
     /// Servers for each needed one; a model that needs none is covered completely.
     double coverage() const;
     /// Same with @p change servers more, or less if negative.
     double coverageAfter(double change) const;
+    /// Same at the highest load of the recent past.
+    double peakCoverageAfter(double change) const;
 };
 
 }
--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -72,6 +72,7 @@
     plans_.clear();
     stagings_.clear();
     reservations_.clear();
+    loadSeenSince_.reset();
 }
 
 void ReplicaController::recordUnresponsive(const VmId &server, std::uint64_t startedAt, TimePoint now)
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -3,6 +3,7 @@
 #include "fleet/capacity_balancer.h"
 #include "fleet/model_demand.h"
 #include "fleet/order_client.h"
+#include "fleet/peak_load.h"
 #include "fleet/replica_composer.h"
 #include "fleet/replica_plan.h"
 #include "fleet/replica_view.h"
@@ -34,6 +35,7 @@
     /// Same for a replica whose servers move to another model. None of its members is leaving, so its requests get more time.
     Duration moveDrainTime{seconds(9)};
     Duration minServingTime{seconds(3)}; // a replica serves at least this long before its servers move to another model
+    Duration minObservationTime{seconds(4)}; // of the load, before the first move of a term
     Duration moveInterval{seconds(1)}; // between moves, so that the load reports show the effect of the last one
     Duration releaseDelay{seconds(1)}; // before members of an ended replica that no other replica uses are ordered to leave
     Duration joinMargin{seconds(4)}; // added to the expected duration of a join
@@ -177,6 +179,8 @@
     std::map<VmId, std::pair<std::uint64_t, ModelId>> lastModels_; // startedAt of the server, and the model of its last replica
     WeightLoadLimiter loadLimiter_;
     std::optional<FleetLoad> load_;
+    PeakLoad peakLoad_;
+    std::optional<TimePoint> loadSeenSince_; // in this term
     std::map<DomainKey, Reservation> reservations_;
     TimePoint lastMoveAt_{};
     std::vector<ReplicaOrder> orders_;
--- a/src/fleet/replica_moves.cpp
+++ b/src/fleet/replica_moves.cpp
@@ -39,12 +39,15 @@
         static_cast<double>(std::count_if(servers.begin(), servers.end(), [&service](const auto &entry) { return entry.second.service == service.id; }));
     for (auto &demand : result) {
         const auto *model = service.engine->findModel(demand.model);
-        demand.weight = IdleShare * count * model->share / shares;
+        const double idleServers = IdleShare * count * model->share / shares;
+        const double serversPerRequest = static_cast<double>(model->size) / std::max(1U, service.engine->slots);
+        demand.weight = idleServers;
         for (const auto &load : load_->models) {
             if (load.service == service.id && load.model == demand.model) {
-                demand.weight += (load.requests + load.unmetRequests) * model->size / std::max(1U, service.engine->slots);
+                demand.weight += (load.requests + load.unmetRequests) * serversPerRequest;
             }
         }
+        demand.peakWeight = idleServers + peakLoad_.of({service.id, demand.model}) * serversPerRequest;
     }
     return result;
 }
@@ -128,7 +131,14 @@
 void ReplicaController::moveCapacity(const FreeByDomain &free, const ServerMap &servers, TimePoint now)
 {
     std::erase_if(reservations_, [now](const auto &entry) { return now >= entry.second.until; });
-    if (!hasTraffic_ || !load_ || now - lastMoveAt_ < settings_.moveInterval) {
+    if (!hasTraffic_ || !load_) {
+        return;
+    }
+    for (const auto &load : load_->models) {
+        peakLoad_.record({load.service, load.model}, load.requests + load.unmetRequests, now);
+    }
+    loadSeenSince_ = loadSeenSince_.value_or(now);
+    if (now - *loadSeenSince_ < settings_.minObservationTime || now - lastMoveAt_ < settings_.moveInterval) {
         return;
     }
     for (const auto &[id, service] : config_->services) {
@@ -146,6 +156,10 @@
         if (plan.phase != PlanPhase::Serving || service == config_->services.end() || !service->second.engine) {
             continue;
         }
+        // A host that keeps one model would lose its own, which it needs to rejoin its replica after a restart.
+        if (service->second.engine->stagedModelsPerHost < 2) {
+            continue;
+        }
         const ModelSpec *alternative = nullptr;
         for (const auto &model : service->second.engine->models) {
             const bool isLargerShare = alternative == nullptr || model.share > alternative->share;
--- a/src/fleet/service_config.h
+++ b/src/fleet/service_config.h
@@ -65,6 +65,7 @@
     std::vector<ModelSpec> models;
     double loadsPerSecond = 1; // start rate of loads from the weight store, over the fleet
     double prefillTokensPerSecond = 0; // prefill rate of a replica with pace 1; 0 when not configured
+    unsigned stagedModelsPerHost = 1; // models whose weights a host keeps; the oldest one is dropped for a further one
     unsigned maxConcurrentLoads = 1; // concurrent loads from the weight store, over the fleet; more of them slow each other down
 
     const ModelSpec *findModel(const ModelId &id) const;
--- a/tests/fleet/capacity_balancer_test.cpp
+++ b/tests/fleet/capacity_balancer_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet/capacity_balancer.h"
+#include "fleet/peak_load.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -53,6 +54,34 @@
     EXPECT_FALSE(CapacityBalancer::planMove(demands[0], 6, demands, domains));
 }
 
+// Load: the demand of both models swings in waves, and one is at its low point. Guards against servers that follow each wave: the model lacks
+// them at its next peak, and each move costs seconds in which they serve nothing.
+TEST(CapacityBalancer, modelKeepsTheServersOfItsLastPeak)
+{
+    const std::vector<DomainCapacity> domains{{0, 0, {makeReplica("a", 3, 1, 3), makeReplica("b", 3, 1, 3)}}};
+    const std::vector<ModelDemand> atLowPoint{{Large, 12, 12, 12}, {Small, 30, 10, 26}};
+    EXPECT_FALSE(CapacityBalancer::planMove(atLowPoint[0], 6, atLowPoint, domains));
+    const std::vector<ModelDemand> idle{{Large, 12, 12, 12}, {Small, 30, 10, 12}};
+    EXPECT_TRUE(CapacityBalancer::planMove(idle[0], 6, idle, domains));
+}
+
+TEST(PeakLoad, remembersAPeakForOneToTwoIntervals)
+{
+    const PeakLoad::Key key{ServiceId("drafting"), Large};
+    PeakLoad load;
+    TimePoint now{hours(1)};
+    EXPECT_EQ(load.of(key), 0);
+    load.record(key, 9, now);
+    load.record(key, 2, now + PeakLoad::Interval - milliseconds(1));
+    EXPECT_EQ(load.of(key), 9);
+    load.record(key, 3, now + PeakLoad::Interval);
+    EXPECT_EQ(load.of(key), 9);
+    load.record(key, 1, now + 2 * PeakLoad::Interval);
+    EXPECT_EQ(load.of(key), 3);
+    load.record(key, 1, now + 5 * PeakLoad::Interval);
+    EXPECT_EQ(load.of(key), 1);
+}
+
 // Guards against a model that loses its last replica.
 TEST(CapacityBalancer, everyModelKeepsAReplica)
 {
