Leave relays that the store turns away within a second and a half

A relay sent notices for 1.8 s after its last answer, the second one for another 0.9 s, so that the gateways of the zone applied the change 3.4 s after its acknowledgement (bound 3 s). Ruled out: lost notices and slow lists; the followers had the version 0.25 s after they began to watch. Change: a relay stops its notices with the first failed call, and its calls wait for 0.5 s (servers) and 1 s (configuration), so that a silent connection shows sooner; notices may be missing for 0.7 s at the second relay and 1.3 s at the others. Followers begin with a longer delay after a failed call, since in an outage for all their calls come at once.

--- a/src/gateway/change_follower.h
+++ b/src/gateway/change_follower.h
@@ -15,10 +15,12 @@
 class ChangeFollower
 {
 public:
-    /// Relays send a notice at least every 250 ms, so after this time three were lost or the relay is gone.
-    static constexpr Duration NoticeTimeout = milliseconds(900);
-    /// Same for gateways that are not relays: by then the second relay of the zone sends notices.
-    static constexpr Duration SecondRelayTimeout = milliseconds(1800);
+    /// Interval between notices of a relay when nothing changes.
+    static constexpr Duration HeartbeatInterval = milliseconds(250);
+    /// After this time without notices, two were lost or the relay has no answers from the store.
+    static constexpr Duration NoticeTimeout = milliseconds(700);
+    /// Same for gateways that are not relays: by then the second relay of the zone sends notices, unless it has no answers either.
+    static constexpr Duration SecondRelayTimeout = milliseconds(1300);
     /// A gap is not filled before this time, since datagrams may arrive out of order.
     static constexpr Duration GapDelay = milliseconds(60);
     /// Time for an answer of a relay.
--- a/src/gateway/change_relay.cpp
+++ b/src/gateway/change_relay.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Interval between notices of a relay when nothing changes.
-constexpr Duration HeartbeatInterval = milliseconds(250);
 /// Answers to requests are limited, since the sender of a datagram may be forged.
 constexpr Duration AnswerInterval = milliseconds(250);
 constexpr unsigned MaxAnswersPerInterval = 200;
@@ -152,7 +150,7 @@
 
 void ChangeRelay::sendHeartbeat(TimePoint now)
 {
-    if (plan_.isRelay() && now - publishedAt_ >= HeartbeatInterval) {
+    if (plan_.isRelay() && now - publishedAt_ >= ChangeFollower::HeartbeatInterval) {
         send(makeNotice(), now);
     }
 }
--- a/src/gateway/kind_watcher.cpp
+++ b/src/gateway/kind_watcher.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-/// Delay after the first failure; doubled for each further one.
-constexpr Duration InitialRetryDelay = milliseconds(150);
 constexpr unsigned MaxDoublings = 6;
 /// Watch duration for changes that are in the store already, such as those that fill a gap.
 constexpr Duration ConfirmingWait = milliseconds(1);
@@ -169,7 +167,7 @@
 void KindWatcher::onCallFailed(std::error_code error)
 {
     hooks_.onFailure(error);
-    scheduleNextCall(std::min(settings_.maxRetryDelay, InitialRetryDelay * (1U << std::min(failures_, MaxDoublings))));
+    scheduleNextCall(std::min(settings_.maxRetryDelay, settings_.retryDelay * (1U << std::min(failures_, MaxDoublings))));
     ++failures_;
 }
 
--- a/src/gateway/kind_watcher.h
+++ b/src/gateway/kind_watcher.h
@@ -29,6 +29,7 @@
     struct Settings {
         std::string kind;
         Duration wait{milliseconds(2500)}; // maximum duration of a watch call; limits the time until a dead connection is detected
+        Duration retryDelay{milliseconds(150)}; // after the first failed call; doubled for each further one
         Duration maxRetryDelay{milliseconds(600)}; // maximum delay after a failed call
         Duration pause{}; // after a change before the next watch call, so that changes in quick succession need one call
     };
@@ -77,10 +78,11 @@
     {
         settings_.wait = wait;
     }
-    /// Sets the maximum delay after a failed call.
-    void setMaxRetryDelay(Duration delay)
+    /// Sets the delay after the first failed call and the maximum delay.
+    void setRetryDelays(Duration first, Duration max)
     {
-        settings_.maxRetryDelay = delay;
+        settings_.retryDelay = first;
+        settings_.maxRetryDelay = max;
     }
     /// Number of lists that were applied.
     std::uint64_t listCount() const
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -21,12 +21,14 @@
 /// Maximum duration of a watch call; limits the time until a dead connection is detected.
 constexpr Duration DirectWait = milliseconds(2500);
 /// Same for relays, on which the gateways of their zone depend.
-constexpr Duration RelayedWait = milliseconds(1000);
-/// A relay stops sending heartbeats when the store has not answered for this long, which covers the watch and the timeout of a call.
-constexpr Duration MaxRelayAnswerAge = milliseconds(1800);
+constexpr Duration RelayedServerWait = milliseconds(500);
+constexpr Duration RelayedConfigWait = milliseconds(1000);
 /// Maximum delay between calls to a store that does not answer.
 constexpr Duration DirectMaxRetryDelay = milliseconds(600);
 constexpr Duration FollowerMaxRetryDelay = milliseconds(2400);
+/// First delay after a failed call. When the store is unavailable to all, the calls of all followers come at once.
+constexpr Duration DirectRetryDelay = milliseconds(150);
+constexpr Duration FollowerRetryDelay = milliseconds(800);
 /// In a new fleet, the gateways have registered by then and know which of them are relays.
 constexpr Duration NewFleetHold = milliseconds(1500);
 
@@ -53,12 +55,14 @@
     KindWatcher::Hooks hooks;
     hooks.onList = [this, apply](const std::vector<StoredObject> &objects) {
         hooks_.onStoreResult("configuration", {});
+        configState_.recordAnswer(clock_.now());
         std::for_each(objects.begin(), objects.end(), apply);
         isConfigConfirmed_ = isConfigConfirmed_ || !configWatcher_->isListStale();
         hooks_.onChange();
     };
     hooks.onEvents = [this, apply](std::span<const ObjectEvent> events) {
         hooks_.onStoreResult("configuration", {});
+        configState_.recordAnswer(clock_.now());
         for (const auto &event : events) {
             if (!event.isRemoved) {
                 apply(event.object);
@@ -69,6 +73,7 @@
     };
     hooks.onFailure = [this](std::error_code error) {
         hooks_.onStoreResult("configuration", error);
+        configState_.recordFailure();
     };
     return hooks;
 }
@@ -80,7 +85,7 @@
         hooks_.onStoreResult("servers", {});
         applyServers(objects);
         appliedRevision_ = serverWatcher_->revision();
-        serversAnsweredAt_ = clock_.now();
+        serverState_.recordAnswer(clock_.now());
         isServersConfirmed_ = isServersConfirmed_ || !serverWatcher_->isListStale();
         relay_.publishList(clock_.now());
         hooks_.onChange();
@@ -89,13 +94,14 @@
         hooks_.onStoreResult("servers", {});
         applyServerEvents(events);
         const auto from = std::exchange(appliedRevision_, serverWatcher_->revision());
-        serversAnsweredAt_ = clock_.now();
+        serverState_.recordAnswer(clock_.now());
         isServersConfirmed_ = true;
         relay_.publishChanges(from, events, clock_.now());
         hooks_.onChange();
     };
     hooks.onFailure = [this](std::error_code error) {
         hooks_.onStoreResult("servers", error);
+        serverState_.recordFailure();
     };
     return hooks;
 }
@@ -182,11 +188,13 @@
 {
     relay_.setPlan(plan);
     serverWatcher_->setPause(plan.isDirect() || isLeaseHolder ? DirectServerPause : RelayedServerPause);
-    serverWatcher_->setWait(plan.isDirect() ? DirectWait : RelayedWait);
+    serverWatcher_->setWait(plan.isDirect() ? DirectWait : RelayedServerWait);
+    configWatcher_->setWait(plan.isDirect() ? DirectWait : RelayedConfigWait);
     // While the store is unavailable, gateways that learn of its recovery from relays call it less often.
-    const auto maxRetryDelay = plan.isDirect() || plan.isRelay() ? DirectMaxRetryDelay : FollowerMaxRetryDelay;
-    serverWatcher_->setMaxRetryDelay(maxRetryDelay);
-    configWatcher_->setMaxRetryDelay(maxRetryDelay);
+    const bool isFollower = !plan.isDirect() && !plan.isRelay();
+    for (const auto &watcher : {configWatcher_, serverWatcher_}) {
+        watcher->setRetryDelays(isFollower ? FollowerRetryDelay : DirectRetryDelay, isFollower ? FollowerMaxRetryDelay : DirectMaxRetryDelay);
+    }
 }
 
 bool StoreMirror::mustWatch(bool isLeaseHolder, TimePoint now) const
@@ -234,7 +242,7 @@
     const auto now = clock_.now();
     updateWatchMode(isLeaseHolder, now);
     // A relay without answers from the store must not send notices, which would keep other gateways from calling the store.
-    if (isWatching() && now - serversAnsweredAt_ < MaxRelayAnswerAge) {
+    if (isWatching() && configState_.isCurrent(now) && serverState_.isCurrent(now)) {
         relay_.sendHeartbeat(now);
     }
     if (serverWatcher_->listCount() > 0 && now >= heldUntil_) {
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -4,6 +4,7 @@
 #include "gateway/fleet_platform.h"
 #include "gateway/kind_watcher.h"
 #include "gateway/server_registry.h"
+#include "gateway/store_watch_state.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -113,7 +114,8 @@
     TimePoint watchingSince_{};
     TimePoint followingSince_{};
     TimePoint heldUntil_{}; // in a new fleet: until then only relays watch, since the others may not be known yet
-    TimePoint serversAnsweredAt_{}; // when the store last answered a list or watch of servers
+    StoreWatchState configState_;
+    StoreWatchState serverState_;
 };
 
 }
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway/change_relay.h"
 #include "gateway/fleet_records.h"
 #include "gateway/kind_watcher.h"
+#include "gateway/store_watch_state.h"
 #include "objects/memory_object_store.h"
 #include "tests/support/test_sockets.h"
 
@@ -118,6 +119,64 @@
     EXPECT_EQ(follower.nextSource(20, Config, Start + seconds(1)), ChangeFollower::Source::None);
 }
 
+// Load: the store turns away some gateways, among them both relays of a zone, while a key is revoked. Guards against followers that trust
+// relays without answers: they kept an old configuration for 3.4 s.
+TEST(ChangeFollower, leavesRelaysThatTheStoreTurnsAway)
+{
+    constexpr Duration Tick = milliseconds(50);
+    StoreWatchState relayStates[2];
+    ChangeFollower secondRelay;
+    ChangeFollower follower;
+    const ChangeNotice heartbeat{5, 5, Config, {}, {}, true};
+    const TimePoint start{hours(1)};
+    const TimePoint refusedAt = start + seconds(2);
+    TimePoint lastHeartbeat{};
+    std::optional<TimePoint> takenOverAt;
+    std::optional<TimePoint> leftAt;
+    for (TimePoint now = start; !leftAt && now < start + seconds(10); now += Tick) {
+        for (auto &state : relayStates) {
+            if (now < refusedAt) {
+                state.recordAnswer(now);
+            } else {
+                state.recordFailure();
+            }
+        }
+        const bool sendsSecond = takenOverAt && relayStates[1].isCurrent(now);
+        if ((relayStates[0].isCurrent(now) || sendsSecond) && now - lastHeartbeat >= ChangeFollower::HeartbeatInterval) {
+            lastHeartbeat = now;
+            secondRelay.applyNotice(heartbeat, 5, Config, now);
+            follower.applyNotice(heartbeat, 5, Config, now);
+        }
+        if (!takenOverAt && !secondRelay.receivesNotices(now)) {
+            takenOverAt = now;
+        }
+        if (!follower.receivesNotices(now, ChangeFollower::SecondRelayTimeout)) {
+            leftAt = now;
+        }
+    }
+    ASSERT_TRUE(takenOverAt);
+    ASSERT_TRUE(leftAt);
+    EXPECT_GT(*takenOverAt, refusedAt);
+    EXPECT_LT(*takenOverAt, *leftAt);
+    // The configuration has to be in force within two seconds, and reading it takes some hundred milliseconds.
+    EXPECT_LT(*leftAt - refusedAt, milliseconds(1500));
+}
+
+// Guards against a relay that keeps others from calling the store although it has no answers itself.
+TEST(StoreWatchState, isNotCurrentAfterAFailureOrWithoutAnswers)
+{
+    const TimePoint now{hours(1)};
+    StoreWatchState state;
+    EXPECT_FALSE(state.isCurrent(now));
+    state.recordAnswer(now);
+    EXPECT_TRUE(state.isCurrent(now + seconds(1)));
+    EXPECT_FALSE(state.isCurrent(now + StoreWatchState::MaxAnswerAge));
+    state.recordFailure();
+    EXPECT_FALSE(state.isCurrent(now));
+    state.recordAnswer(now + seconds(1));
+    EXPECT_TRUE(state.isCurrent(now + seconds(1)));
+}
+
 // Guards against store calls that grow with the fleet when datagrams are lost: a gap is filled by the relays, the store is the last resort.
 TEST(ChangeFollower, asksRelaysBeforeTheStore)
 {
@@ -164,7 +223,7 @@
     ChangeFollower follower;
     EXPECT_FALSE(follower.receivesNotices(Start));
     follower.applyNotice(makeNotice(5, 5), 5, Config, Start);
-    EXPECT_TRUE(follower.receivesNotices(Start + milliseconds(800)));
+    EXPECT_TRUE(follower.receivesNotices(Start + 2 * ChangeFollower::HeartbeatInterval));
     EXPECT_FALSE(follower.receivesNotices(Start + seconds(1)));
     EXPECT_TRUE(follower.receivesNotices(Start + seconds(1), ChangeFollower::SecondRelayTimeout));
 }
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -107,7 +107,7 @@
     // Calls at 0, 150, 450, 750 and 1,050 ms.
     EXPECT_GE(store.lists, 4U);
     EXPECT_LE(store.lists, 5U);
-    watcher->setMaxRetryDelay(seconds(5));
+    watcher->setRetryDelays(milliseconds(150), seconds(5));
     store.lists = 0;
     runFor(milliseconds(1200));
     EXPECT_LE(store.lists, 2U);
