Split the attempts at a server from ForwardCall; limit the deferral in notices

What sends a request to one server and reads the header of its response stands in forward_attempt.cpp now, unchanged. A malformed notice could defer removals of servers for 49 days; ten seconds are the limit (ChangeNotice.limitsTheDeferralOfRemovals).

--- a/src/fleet/replica_moves.cpp
+++ b/src/fleet/replica_moves.cpp
@@ -112,6 +112,7 @@
         }
     }
     std::vector<DomainCapacity> domains;
+    domains.reserve(keys.size());
     for (const auto &key : keys) {
         domains.push_back(domainCapacity(key, free, need->model, servers, now));
     }
--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -22,6 +22,8 @@
 /// Part of a datagram for the fields of a notice other than its changes or its configuration update.
 constexpr std::size_t HeaderBytes = 256;
 constexpr std::size_t MaxContentBytes = MaxNoticeBytes - HeaderBytes;
+/// No gateway defers removals for longer. A malformed notice must not keep servers that are gone.
+constexpr Duration MaxDeferral = seconds(10);
 
 capnp::Data::Reader toData(std::span<const std::byte> bytes)
 {
@@ -174,7 +176,7 @@
         notice.fromRevision = root.getFromRevision();
         notice.toRevision = root.getToRevision();
         notice.configVersion = root.getConfigVersion();
-        notice.remainingDeferral = milliseconds(root.getUnsettledMs());
+        notice.remainingDeferral = std::min<Duration>(milliseconds(root.getUnsettledMs()), MaxDeferral);
         notice.isComplete = root.getIsComplete();
         notice.changes = readChanges(root);
         if (root.hasPackedChanges()) {
--- /dev/null
+++ b/src/gateway/forward_attempt.cpp
@@ -0,0 +1,214 @@
+// The part of ForwardCall that sends a request to one backend server and reads the header of the response.
+
+#include "core/time_units.h"
+#include "gateway/forward_call.h"
+#include "gateway/http_fields.h"
+
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaypoint
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+/// A reachable server accepts within milliseconds, an unreachable one not at all.
+constexpr Duration ConnectTimeout = milliseconds(350);
+/// Added to the deadline that the server was given, so that its own timeout response can arrive.
+constexpr Duration ResponseMargin = milliseconds(200);
+/// Share of the remaining time after which an idempotent request without a response is sent to another server.
+constexpr double RetryAfterShare = 0.3;
+/// Time for the body of a response which states that the request did not run.
+constexpr Duration RejectionBodyTimeout = milliseconds(50);
+constexpr unsigned MaxStaleResponses = 2;
+constexpr unsigned MaxInterimResponses = 8;
+constexpr unsigned SwitchingProtocols = 101;
+
+/// Keeps a request in the load tracker while it exists, also when an exception ends its scope.
+class TrackedAttempt
+{
+public:
+    TrackedAttempt(BackendLoadTracker &tracker, const VmId &server, ReroutableCall *stream, unsigned &pendingPrefillTokens)
+        : tracker_(tracker)
+        , server_(server)
+        , stream_(stream)
+        , pendingPrefillTokens_(pendingPrefillTokens)
+    {
+        tracker_.recordRequestStart(server_, stream_, pendingPrefillTokens_);
+    }
+    TrackedAttempt(const TrackedAttempt &) = delete;
+    TrackedAttempt &operator=(const TrackedAttempt &) = delete;
+    ~TrackedAttempt()
+    {
+        tracker_.recordRequestEnd(server_, stream_, std::exchange(pendingPrefillTokens_, 0));
+    }
+
+private:
+    BackendLoadTracker &tracker_;
+    const VmId &server_;
+    ReroutableCall *stream_;
+    unsigned &pendingPrefillTokens_;
+};
+
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::attempt(ServingTarget target)
+{
+    entry_.server = target.server.str();
+    entry_.replica = target.replica.str();
+    entry_.attempts = sentAttempts_ + 1;
+    excluded_.push_back(target.server);
+    isRerouting_ = false;
+    ReroutableCall *stream = route_->kind == CallKind::Stream ? this : nullptr;
+    pendingPrefillTokens_ = stream == nullptr ? 0 : promptTokens();
+    const auto attemptStartedAt = context_.now();
+    auto end = AttemptEnd::NotSent;
+    {
+        const TrackedAttempt tracked(context_.loadTracker, target.server, stream, pendingPrefillTokens_);
+        end = co_await connectAndExchange(target);
+    }
+    if (end == AttemptEnd::Failed) {
+        mayHaveRun_ = true;
+        if (!isCallerGone_ && !isRerouting_) {
+            context_.loadTracker.recordFailure(target.server, context_.now());
+        }
+    } else if (end == AttemptEnd::Answered) {
+        context_.loadTracker.recordSuccess(target.server);
+        context_.demand.recordRequestEnd(serverPool(), context_.now() - attemptStartedAt);
+    }
+    co_return end;
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::connectAndExchange(ServingTarget target)
+{
+    BackendLink link;
+    const auto error = co_await context_.pool.acquire(target, std::min(ConnectTimeout, remaining()), link);
+    if (error) {
+        context_.loadTracker.recordFailure(target.server, context_.now());
+        co_return AttemptEnd::NotSent;
+    }
+    if (isCallerGone_) {
+        link.connection->close();
+        co_return AttemptEnd::CallerLost;
+    }
+    activeLink_ = link;
+    const auto end = co_await exchange(link, target);
+    activeLink_.reset();
+    co_return end;
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::exchange(BackendLink &link, ServingTarget target)
+{
+    ++sentAttempts_;
+    auto limit = remaining() + ResponseMargin;
+    const bool mayRetryEarly = route_->kind == CallKind::Idempotent && sentAttempts_ < route_->maxAttempts;
+    if (mayRetryEarly) {
+        limit = std::min(limit, Duration(static_cast<std::int64_t>(static_cast<double>(remaining().count()) * RetryAfterShare)));
+    }
+    link.connection->limit(limit);
+    std::optional<Response> response;
+    // GCC 12 does not short-circuit operands that contain co_await, so each step is a separate statement.
+    bool isRead = co_await sendRequest(link, target);
+    if (isRead) {
+        isRead = co_await readHeader(link, response);
+    }
+    if (!isRead) {
+        link.connection->close();
+        co_return AttemptEnd::Failed;
+    }
+    const auto &header = response->get();
+    const bool isNotRun = header.result_int() == 421 || header.find(context_.names.notExecuted) != header.end();
+    if (isNotRun) {
+        // The body says nothing more, and another server can have the request meanwhile.
+        link.connection->limit(RejectionBodyTimeout);
+        if (co_await discardBody(link, *response)) {
+            keepOrClose(link, *response);
+        } else {
+            link.connection->close();
+        }
+        co_return AttemptEnd::NotRun;
+    }
+    const bool isSuccess = header.result_int() / 100 == 2;
+    const bool isSigned = header.find(context_.names.signature) != header.end();
+    if (isSuccess && !isSigned) {
+        link.connection->close();
+        co_return AttemptEnd::Failed;
+    }
+    if (isHeaderSent_ && !isSuccess) {
+        // The caller has received part of a successful response, which an error cannot continue.
+        link.connection->close();
+        co_return AttemptEnd::Failed;
+    }
+    if (route_->kind == CallKind::Stream && isSuccess) {
+        co_return co_await relayStream(link, *response);
+    }
+    co_return co_await relayCompleteResponse(link, *response);
+}
+
+asio::awaitable<bool> ForwardCall::sendRequest(BackendLink &link, const ServingTarget &target)
+{
+    CallerRequest message(request_.method(), request_.target(), 11);
+    message.method_string(request_.method_string());
+    copyEndToEndFields(request_, message);
+    message.erase(http::field::authorization);
+    message.erase(http::field::expect);
+    message.erase(context_.names.customer);
+    if (!customer_.isEmpty()) {
+        message.set(context_.names.customer, customer_.str());
+    }
+    message.set(context_.names.expectedServer, target.server.str());
+    message.set(context_.names.deadline, std::to_string(std::max<std::int64_t>(1, inMilliseconds(remaining()))));
+    if (lastEventId_ && hasEvents_) {
+        message.set("Last-Event-Id", std::to_string(*lastEventId_));
+    }
+    message.body() = request_.body();
+    const bool hasBody = !request_.body().empty() || request_.has_content_length() || request_.chunked();
+    if (hasBody) {
+        message.content_length(request_.body().size());
+    }
+    const auto [error, bytes] = co_await http::async_write(link.connection->socket(), message, UseResult);
+    co_return !error;
+}
+
+asio::awaitable<bool> ForwardCall::readHeader(BackendLink &link, std::optional<Response> &response)
+{
+    unsigned staleCount = 0;
+    unsigned interimCount = 0;
+    while (staleCount <= MaxStaleResponses && interimCount <= MaxInterimResponses) {
+        response.emplace();
+        response->body_limit(boost::none);
+        response->skip(request_.method() == http::verb::head);
+        const auto [error, bytes] = co_await http::async_read_header(link.connection->socket(), link.connection->buffer(), *response, UseResult);
+        const auto status = response->get().result_int();
+        if (error || status == SwitchingProtocols) {
+            co_return false;
+        }
+        if (status / 100 == 1) {
+            ++interimCount;
+            continue;
+        }
+        // A late response to an earlier request may precede the expected one; it is recognised by its id. Without an id, an error response
+        // is accepted only from a connection that has had no other request, since it may answer an earlier one.
+        const auto id = response->get()[context_.names.attemptId];
+        const bool mayLackId = !link.isReused && staleCount == 0 && status / 100 != 2;
+        if (id == entry_.id || (id.empty() && mayLackId)) {
+            co_return true;
+        }
+        if (id.empty()) {
+            co_return false;
+        }
+        const bool isRead = co_await discardBody(link, *response);
+        if (!isRead || response->need_eof()) {
+            co_return false;
+        }
+        ++staleCount;
+    }
+    co_return false;
+}
+
+}
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -252,6 +252,16 @@
     EXPECT_EQ(request->request->configVersion, 3U);
 }
 
+// Guards against a malformed notice after which removed servers stay in the list for weeks.
+TEST(ChangeNotice, limitsTheDeferralOfRemovals)
+{
+    auto notice = makeNotice(5, 5);
+    notice.remainingDeferral = hours(24);
+    const auto read = decodeChangeMessage(encodeNotice(notice).front());
+    ASSERT_TRUE(read);
+    EXPECT_LE(read->notice.remainingDeferral, seconds(10));
+}
+
 // Guards against notices without their changes when many servers change at once: every gateway of the fleet then called the store.
 TEST(ChangeNotice, dividesChangesThatExceedTheDatagramSize)
 {
