--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -51,12 +51,12 @@
     }
 }
 
-std::vector<BackendLoad> toList(std::unordered_map<VmId, BackendLoad> sums)
+std::vector<BackendLoad> toList(const std::unordered_map<VmId, BackendLoad> &sums)
 {
     std::vector<BackendLoad> loads;
     loads.reserve(sums.size());
-    for (auto &[server, load] : sums) {
-        loads.push_back(std::move(load));
+    for (const auto &[server, load] : sums) {
+        loads.push_back(load);
     }
     return loads;
 }
@@ -163,7 +163,7 @@
             addUnmet(sum.unmet, received.report.unmet);
         }
     }
-    sum.loads = toList(std::move(sums));
+    sum.loads = toList(sums);
     return sum;
 }
 
@@ -180,7 +180,7 @@
             addUnmet(sum.unmet, received.report.unmet);
         }
     }
-    sum.loads = toList(std::move(sums));
+    sum.loads = toList(sums);
     return sum;
 }
 
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -328,7 +328,7 @@
 TEST(ChangeHistory, returnsAllChangesSinceARevision)
 {
     ChangeHistory history;
-    EXPECT_FALSE(ChangeHistory(history).since(0)->changes.size());
+    EXPECT_TRUE(ChangeHistory(history).since(0)->changes.empty());
     history.reset(10);
     const std::vector<ObjectEvent> first{makeEvent("a", 11), makeEvent("b", 12)};
     const std::vector<ObjectEvent> second{makeEvent("c", 15)};
