Put the term of the lease into each order; one refusal stops its sender

Cause: orders carried no fencing token, so that backend servers which check one could not refuse an open, close, leave or stage order of a superseded controller; a refusal (412) of a leave order was even taken for proof that the head had left. Ruled out: reading the lease anew before each order, which costs a store call an order. Change: each order carries the term. After a refused order the controller gives no orders until a read of the lease that began after the refusal shows that it is still held; lists, which may be stale, do not count. A stale leave order proves nothing about the replica (ReplicaController.staleOrderDoesNotFreeMembers failed before).

--- a/src/fleet/control_lease.cpp
+++ b/src/fleet/control_lease.cpp
@@ -40,7 +40,7 @@
 
 std::optional<ControlLease::Write> ControlLease::takeWrite(TimePoint now)
 {
-    if (pendingWrite_ || mustRead_) {
+    if (pendingWrite_ || mustRead()) {
         return std::nullopt;
     }
     Write write{{self_, process_, record_.term, record_.renewals + 1}, version_};
@@ -93,6 +93,21 @@
     return pendingWrite_;
 }
 
+void ControlLease::onOrderRefused()
+{
+    isDoubted_ = true;
+}
+
+void ControlLease::confirm()
+{
+    isDoubted_ = false;
+}
+
+bool ControlLease::mayAct(TimePoint now) const
+{
+    return !isDoubted_ && isHeld(now);
+}
+
 bool ControlLease::isHeld(TimePoint now) const
 {
     return isOwn() && renewalSentAt_ && now - *renewalSentAt_ < settings_.validityTimeout;
--- a/src/fleet/control_lease.h
+++ b/src/fleet/control_lease.h
@@ -49,7 +49,15 @@
     /// The write that releases the lease at a planned stop; empty when the lease is not held.
     std::optional<Write> release(TimePoint now);
 
+    /// A server refused an order because it has seen a higher term. The holder must not act until a read that began later shows that the
+    /// lease is still its own.
+    void onOrderRefused();
+    /// The object, as last passed to onObjectRead(), was read after the last refusal and is not stale.
+    void confirm();
+
     bool isHeld(TimePoint now) const;
+    /// Whether the lease is held and no server has refused its term.
+    bool mayAct(TimePoint now) const;
     std::uint64_t term() const
     {
         return record_.term;
@@ -65,7 +73,7 @@
     }
     bool mustRead() const
     {
-        return mustRead_;
+        return mustRead_ || isDoubted_;
     }
 
 private:
@@ -77,6 +85,7 @@
     LeaseRecord record_;
     std::uint64_t version_ = 0;
     bool mustRead_ = true;
+    bool isDoubted_ = false; // a server has seen a higher term
     TimePoint versionSeenAt_{}; // when this daemon first saw the current version
     std::optional<Write> pendingWrite_;
     TimePoint pendingSentAt_{}; // when the pending write was sent
--- a/src/fleet/order_client.h
+++ b/src/fleet/order_client.h
@@ -29,12 +29,13 @@
     std::uint64_t epoch = 0; // unset for Stage
     ModelId model; // for Join and Stage
     std::vector<VmId> members; // for Join, the head first
+    std::uint64_t term = 0; // of the sender's lease; backend servers that check it refuse a term below the highest that they have seen
 };
 
 enum class OrderOutcome : std::uint8_t {
     Done, // accepted, or the server is in the ordered state already
     Refused, // not possible in the server's state, which is unchanged
-    Stale, // the server has seen a higher epoch
+    Stale, // the server has seen a higher term, or for Join a higher epoch
     WrongServer, // another server now uses the address
     ConnectionRefused, // nothing listens at the address
     NoAnswer, // outcome unknown: the server may execute the order now or later
--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -442,7 +442,7 @@
 void ReplicaController::queueOrder(OrderKind kind, const ReplicaPlan &plan, PlannedMember &member, TimePoint now)
 {
     member.lastOrderAt = now;
-    orders_.push_back({kind, member.id, member.address, plan.id, plan.epoch, ModelId(), {}});
+    orders_.push_back({kind, member.id, member.address, plan.id, plan.epoch, ModelId(), {}, term_});
 }
 
 void ReplicaController::recordOutcome(const ReplicaOrder &order, OrderOutcome outcome, TimePoint now)
@@ -455,8 +455,8 @@
     const bool isHead = plan.head().id == order.server;
     // A refused connection does not prove that the server has ended: a network partition between zones may reset connections to a
     // running server.
-    const bool hasLeft =
-        outcome == OrderOutcome::Done || outcome == OrderOutcome::Refused || outcome == OrderOutcome::Stale || outcome == OrderOutcome::WrongServer;
+    // A stale order was refused for its term, which says nothing about the server's replica.
+    const bool hasLeft = outcome == OrderOutcome::Done || outcome == OrderOutcome::Refused || outcome == OrderOutcome::WrongServer;
     if (order.kind == OrderKind::Leave && plan.phase == PlanPhase::Ending && hasLeft) {
         if (isHead) {
             enterPhase(plan, PlanPhase::Retired, now, outcome == OrderOutcome::Done ? "the head has left" : "the head is not in the replica");
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -314,7 +314,7 @@
             loadLimiter_.recordStarts(1, now);
         }
         ++staged[model];
-        orders_.push_back({OrderKind::Stage, spare.id, server.address, ReplicaId(), 0, model, {}});
+        orders_.push_back({OrderKind::Stage, spare.id, server.address, ReplicaId(), 0, model, {}, term_});
     }
 }
 
--- a/src/fleet/replica_moves.cpp
+++ b/src/fleet/replica_moves.cpp
@@ -176,7 +176,7 @@
                 continue;
             }
             stagings_[member.id] = {alternative->id, member.startedAt, now, true};
-            orders_.push_back({OrderKind::Stage, member.id, member.address, ReplicaId(), 0, alternative->id, {}});
+            orders_.push_back({OrderKind::Stage, member.id, member.address, ReplicaId(), 0, alternative->id, {}, term_});
         }
     }
 }
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -304,7 +304,7 @@
         }
         return;
     }
-    if (!isReady()) {
+    if (!lease_.mayAct() || !isReady()) {
         return;
     }
     if (activeTerm_ != lease_.term()) {
@@ -343,6 +343,11 @@
         logDecision("order", order.server.str(), orderName(order.kind), outcomeName(outcome),
                     {{"replica", order.replica.str()}, {"epoch", order.epoch}, {"model", order.model.str()}});
         controller_.recordOutcome(order, outcome, clock_.now());
+        if (outcome == OrderOutcome::Stale) {
+            logDecision("lease", settings_.id.str(), "in doubt", "a server has seen a higher term or epoch",
+                        {{"server", order.server.str()}, {"term", order.term}});
+            lease_.onOrderRefused();
+        }
     });
 }
 
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -30,6 +30,13 @@
     }
 }
 
+void LeaseKeeper::onOrderRefused()
+{
+    lease_.onOrderRefused();
+    isReadOutdated_ = isReading_;
+    lastReadAt_ = {};
+}
+
 bool LeaseKeeper::isDelayed() const
 {
     return lease_.version() == 0 && clock_.now() - startedAt_ < settings_.firstTakeDelay;
@@ -56,12 +63,16 @@
     lastReadAt_ = clock_.now();
     store_.fetch(kind_, ObjectName, [this](std::error_code error, const StoredObject &object) {
         isReading_ = false;
+        const bool isOutdated = std::exchange(isReadOutdated_, false);
         const bool isAbsent = error == ResultCode::ObjectNotFound;
         if (isAbsent) {
             onLeaseRead(nullptr);
         } else if (!error) {
             onLeaseRead(&object);
         }
+        if (!isOutdated && (isAbsent || !error)) {
+            lease_.confirm();
+        }
         onResult_(isAbsent ? std::error_code() : error);
     });
 }
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -31,6 +31,8 @@
 
     /// The lease was read, in a list of daemons or on its own. @p object is null when it does not exist.
     void onLeaseRead(const StoredObject *object);
+    /// A server refused an order because it has seen a higher term: mayAct() returns false until the store shows that the lease is held.
+    void onOrderRefused();
     /// Reads or writes the lease if that is due.
     void update();
     /// Releases the lease, then calls @p done; calls it immediately when the lease is not held.
@@ -40,6 +42,11 @@
     {
         return lease_.isHeld(clock_.now());
     }
+    /// Whether the lease is held and no server has refused its term.
+    bool mayAct() const
+    {
+        return lease_.mayAct(clock_.now());
+    }
     std::uint64_t term() const
     {
         return lease_.term();
@@ -60,6 +67,7 @@
     TimePoint lastReadAt_{};
     bool isKnown_ = false; // the lease or its absence has been read
     bool isReading_ = false;
+    bool isReadOutdated_ = false; // an order was refused after the read in progress began
 };
 
 }
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -1,10 +1,20 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace carawaypoint
 {
 
+/// Load of a backend server as it states it in a response.
+struct StatedLoad {
+    std::uint32_t running = 0; // requests
+    std::uint32_t waiting = 0; // requests
+    std::uint32_t slots = 0; // requests that the server runs concurrently
+};
+
 /// Names in the protocol of callers and backend servers, supplied by the platform adapter.
 struct WireNames {
     std::string attemptId; // header: id of one attempt of a caller
@@ -15,6 +25,8 @@
     std::string signature; // response header: present when a backend server created the response
     std::string model; // header: model that the request is for
     std::string tokenUsage; // header: tokens of the prompt, and maximum tokens of the response
+    std::string serverLoad; // response header: load of the backend server; empty when the platform has none
+    std::optional<StatedLoad> (*parseServerLoad)(std::string_view text) = nullptr; // empty result when the value is malformed
     std::string keyScheme; // scheme of the Authorization header
     std::string readinessPath;
 };
--- a/tests/fleet/fleet_rules_test.cpp
+++ b/tests/fleet/fleet_rules_test.cpp
@@ -132,6 +132,30 @@
     EXPECT_GT(takeover->record.term, renewal->record.term);
 }
 
+// Guards against orders of a superseded holder: one refusal must stop it, and neither a read that began before the refusal nor a stale
+// one may let it go on.
+TEST(ControlLease, refusedOrderStopsTheHolderUntilTheLeaseIsConfirmed)
+{
+    ControlLease holder(MemberId("a"), 1);
+    auto now = Start;
+    holder.onObjectRead({}, 0, now);
+    const auto first = holder.takeWrite(now);
+    ASSERT_TRUE(first);
+    holder.onWriteSucceeded(5);
+    ASSERT_TRUE(holder.mayAct(now));
+    holder.onOrderRefused();
+    EXPECT_FALSE(holder.mayAct(now));
+    holder.onObjectRead(first->record, 5, now);
+    EXPECT_FALSE(holder.mayAct(now)) << "a list may be stale";
+    EXPECT_FALSE(holder.takeWrite(now + seconds(2))) << "a write in doubt could extend a lease of another holder's term";
+    holder.confirm();
+    EXPECT_TRUE(holder.mayAct(now));
+    holder.onOrderRefused();
+    holder.onObjectRead({MemberId("b"), 2, first->record.term + 1, 1}, 6, now);
+    holder.confirm();
+    EXPECT_FALSE(holder.mayAct(now));
+}
+
 // Guards against reuse of the old term after a lapse, in which another daemon may have held the lease.
 TEST(ControlLease, holderStartsNewTermAfterItsLeaseLapsed)
 {
--- a/tests/fleet/replica_controller_test.cpp
+++ b/tests/fleet/replica_controller_test.cpp
@@ -494,6 +494,24 @@
     EXPECT_THAT(run.servers.violations(), IsEmpty());
 }
 
+// Guards against members that are reused because an order to their head was refused for its term: the head serves on.
+TEST(ReplicaController, staleOrderDoesNotFreeMembers)
+{
+    ControllerRun run;
+    run.run(seconds(60));
+    run.startTraffic();
+    const auto head = run.headOf(Large);
+    const auto membership = *run.servers.state(head).membership;
+    run.servers.fail(head, ServerFault::Partitioned, run.now);
+    run.run(SimulatedServers::LapseTime + milliseconds(300));
+    const ReplicaOrder leave{OrderKind::Leave, head, run.servers.state(head).address, membership.replica, membership.epoch, ModelId(), {}, 1};
+    run.controller.takePlanChanges();
+    run.controller.recordOutcome(leave, OrderOutcome::Stale, run.now);
+    EXPECT_THAT(run.controller.takePlanChanges(), IsEmpty());
+    run.run(seconds(3));
+    EXPECT_THAT(run.servers.violations(), IsEmpty());
+}
+
 // Guards against repeating orders forever to a domain whose servers are all gone.
 TEST(ReplicaController, dropsPlansWithoutRegisteredMembers)
 {
--- a/tests/gateway/lease_keeper_test.cpp
+++ b/tests/gateway/lease_keeper_test.cpp
@@ -101,6 +101,27 @@
     EXPECT_GT(other.term(), holder.term());
 }
 
+// Guards against a holder that acts after a server has refused its term, on the word of a list that is older than the refusal.
+TEST_F(LeaseKeeperTest, readsTheStoreAfterARefusedOrder)
+{
+    auto holder = keeper("a");
+    holder.onLeaseRead(nullptr);
+    tickFor(holder, milliseconds(300));
+    ASSERT_TRUE(holder.mayAct());
+    StoredObject listed;
+    store_.fetch("daemons", LeaseKeeper::ObjectName, [&](std::error_code, const StoredObject &object) { listed = object; });
+    tickFor(holder, Tick);
+    holder.onOrderRefused();
+    holder.onLeaseRead(&listed);
+    EXPECT_FALSE(holder.mayAct());
+    store_.setDown(true);
+    tickFor(holder, seconds(1));
+    EXPECT_FALSE(holder.mayAct());
+    store_.setDown(false);
+    tickFor(holder, seconds(1));
+    EXPECT_TRUE(holder.mayAct()) << "the store shows that the lease is still held";
+}
+
 // Guards against replicas without a controller until the lease lapses after a planned stop.
 TEST_F(LeaseKeeperTest, releasesTheLeaseAtAPlannedStop)
 {
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/http_order_client.h"
 #include "platform/platform_object_store.h"
 #include "platform/record_decoder.h"
+#include "platform/wire_names.h"
 #include "tests/support/scripted_http_server.h"
 
 #include <gmock/gmock.h>
@@ -121,14 +122,29 @@
     EXPECT_EQ(decodeServiceConfig("nonsense"), nullptr);
 }
 
+// Guards against routing by a load that no server can have.
+TEST(StatedLoad, acceptsOnlyPlausibleNumbers)
+{
+    const auto load = parseStatedLoad("12,3,26");
+    ASSERT_TRUE(load);
+    EXPECT_EQ(load->running, 12U);
+    EXPECT_EQ(load->waiting, 3U);
+    EXPECT_EQ(load->slots, 26U);
+    for (const auto *text : {"", "1", "1,2", "1,2,", "1,2,3,", "1,2,3,4", "-1,0,26", "1,-2,26", "27,0,26", "1,0,0", "1, 0,26", "a,0,26", "1,0,26x",
+                             "99999999999999999999,0,26", "1,200000,26", "1.5,0,26", ",,"}) {
+        EXPECT_FALSE(parseStatedLoad(text)) << text;
+    }
+}
+
 TEST(OrderCodec, encodesEachOperation)
 {
-    EXPECT_EQ(encodeOrder({OrderKind::Join, VmId("a"), {}, ReplicaId("g"), 12, ModelId("m"), {VmId("a"), VmId("b")}}),
-              R"({"operation":"join","group":"g","epoch":12,"model":"m","members":["a","b"]})");
-    EXPECT_EQ(encodeOrder({OrderKind::Open, VmId("a"), {}, ReplicaId("g"), 12, {}, {}}), R"({"operation":"open","group":"g","epoch":12})");
-    EXPECT_EQ(encodeOrder({OrderKind::Close, VmId("a"), {}, ReplicaId("g"), 12, {}, {}}),
-              R"({"operation":"close","group":"g","epoch":12,"close_mode":"wait"})");
-    EXPECT_EQ(encodeOrder({OrderKind::Stage, VmId("a"), {}, {}, 0, ModelId("m"), {}}), R"({"operation":"phase","model":"m"})");
+    EXPECT_EQ(encodeOrder({OrderKind::Join, VmId("a"), {}, ReplicaId("g"), 12, ModelId("m"), {VmId("a"), VmId("b")}, 3}),
+              R"({"fence_token":3,"operation":"join","group":"g","epoch":12,"model":"m","members":["a","b"]})");
+    EXPECT_EQ(encodeOrder({OrderKind::Open, VmId("a"), {}, ReplicaId("g"), 12, {}, {}, 3}), R"({"fence_token":3,"operation":"open","group":"g","epoch":12})");
+    EXPECT_EQ(encodeOrder({OrderKind::Close, VmId("a"), {}, ReplicaId("g"), 12, {}, {}, 3}),
+              R"({"fence_token":3,"operation":"close","group":"g","epoch":12,"close_mode":"wait"})");
+    EXPECT_EQ(encodeOrder({OrderKind::Leave, VmId("a"), {}, ReplicaId("g"), 12, {}, {}, 3}), R"({"fence_token":3,"operation":"leave","group":"g","epoch":12})");
+    EXPECT_EQ(encodeOrder({OrderKind::Stage, VmId("a"), {}, {}, 0, ModelId("m"), {}, 3}), R"({"fence_token":3,"operation":"phase","model":"m"})");
 }
 
 // Guards against changes that are made while later pages are listed and are then lost: the watch has to start at the
