Use the load that servers state; reuse connections and drop dead ones together

Cause: (1) counts of other gateways are up to 0.15 s old, while some servers state their load in each response. (3) After a reset of connections a gateway used one dead idle connection after the other (FaultyBackend.failureOnAReusedConnectionDiscardsTheIdleOnes: 6 of 6 bookings lost before, 1 now). Ruled out for (1): trusting a statement for longer than a report interval; it would be older than the reports. Change: a stated load replaces the counts of peers for 0.1 s; implausible values are ignored and counted. Among the targets that get a share of the requests, those with an idle connection go first. A failure on a reused connection closes the other idle ones to that server.

--- a/src/gateway/backend_connection_pool.cpp
+++ b/src/gateway/backend_connection_pool.cpp
@@ -83,6 +83,29 @@
     kept.push_back({std::move(link), clock_.now() + keepAlive});
 }
 
+std::vector<VmId> BackendConnectionPool::connectedServers() const
+{
+    std::vector<VmId> servers;
+    for (const auto &[server, kept] : idle_) {
+        if (!kept.empty() && kept.back().expiresAt > clock_.now()) {
+            servers.push_back(server);
+        }
+    }
+    return servers;
+}
+
+void BackendConnectionPool::closeIdle(const VmId &server)
+{
+    const auto found = idle_.find(server);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const auto &idle : found->second) {
+        idle.link.connection->close();
+    }
+    idle_.erase(found);
+}
+
 void BackendConnectionPool::closeExpired()
 {
     const auto now = clock_.now();
--- a/src/gateway/backend_connection_pool.h
+++ b/src/gateway/backend_connection_pool.h
@@ -32,7 +32,11 @@
     asio::awaitable<std::error_code> acquire(const ServingTarget &target, Duration timeout, BackendLink &link);
     /// Returns a connection to the pool, where it is usable for @p keepAlive.
     void release(BackendLink link, Duration keepAlive);
+    /// Servers to which an idle connection can be used.
+    std::vector<VmId> connectedServers() const;
     void closeExpired();
+    /// Closes the idle connections to @p server: one that failed while it was reused suggests that the others have failed too.
+    void closeIdle(const VmId &server);
 
 private:
     struct Idle {
--- a/src/gateway/backend_load_tracker.cpp
+++ b/src/gateway/backend_load_tracker.cpp
@@ -61,6 +61,12 @@
     backend.hadEvents = true;
 }
 
+void BackendLoadTracker::recordStatedLoad(const VmId &server, unsigned requests, TimePoint now)
+{
+    auto &backend = backends_[server];
+    backend.stated = StatedPeerRequests{requests - std::min(requests, backend.own), now};
+}
+
 bool BackendLoadTracker::isProgressing(const Backend &backend) const
 {
     return backend.hadEvents && backend.ticksSinceEvent < settings_.progressTicks;
@@ -99,6 +105,11 @@
 {
     const bool isLate = lastTick_ != TimePoint{} && now - lastTick_ > 2 * settings_.tick;
     lastTick_ = now;
+    for (auto &[server, backend] : backends_) {
+        if (backend.stated && now - backend.stated->at > settings_.statedLoadTime) {
+            backend.stated.reset();
+        }
+    }
     if (!isLate) {
         // Rerouting a request changes entries of the map, so iterates over a copy of its keys.
         std::vector<VmId> servers;
@@ -189,6 +200,9 @@
     unsigned requests = 0;
     if (const auto own = backends_.find(server); own != backends_.end()) {
         requests += own->second.own;
+        if (own->second.stated) {
+            return requests + own->second.stated->requests;
+        }
     }
     if (const auto peers = peerLoadSums_.find(server); peers != peerLoadSums_.end()) {
         requests += peers->second.requests;
@@ -242,7 +256,9 @@
 }
 
 /// Distributes @p requests so that they fill the targets to the same level, and draws a target with the probability of its share.
-BackendLoadTracker::Candidate BackendLoadTracker::pickByWaterFilling(std::vector<Candidate> candidates, double requests, std::mt19937_64 &random)
+/// Only targets in @p connected are drawn if any of them has a share.
+BackendLoadTracker::Candidate
+BackendLoadTracker::pickByWaterFilling(std::vector<Candidate> candidates, double requests, std::span<const VmId> connected, std::mt19937_64 &random)
 {
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.score < right.score; });
     double slots = 0;
@@ -258,9 +274,16 @@
         level = (requests + used) / slots;
     }
     std::vector<double> shares;
+    std::vector<double> connectedShares;
     shares.reserve(candidates.size());
+    connectedShares.reserve(candidates.size());
     for (const auto &candidate : candidates) {
+        const bool isConnected = std::find(connected.begin(), connected.end(), candidate.target->server) != connected.end();
         shares.push_back(candidate.target->slots * std::max(0.0, level - candidate.score));
+        connectedShares.push_back(isConnected ? shares.back() : 0);
+    }
+    if (std::any_of(connectedShares.begin(), connectedShares.end(), [](double share) { return share > 0; })) {
+        shares = std::move(connectedShares);
     }
     std::discrete_distribution<std::size_t> distribution(shares.begin(), shares.end());
     return candidates[distribution(random)];
@@ -272,7 +295,8 @@
                                                       TimePoint now,
                                                       std::mt19937_64 &random,
                                                       RequestStage stage,
-                                                      const StalenessEstimate &staleness) const
+                                                      const StalenessEstimate &staleness,
+                                                      std::span<const VmId> connected) const
 {
     std::vector<Candidate> healthy;
     std::vector<Candidate> inBackoff; // failed recently, but not stalled
@@ -304,7 +328,8 @@
     if (candidates.empty() || !isAdmitted) {
         return {nullptr, leastLoad >= 0, std::max(0.0, leastLoad), freeCapacity, staleness.startedRequests};
     }
-    const auto chosen = staleness.startedRequests > 1 ? pickByWaterFilling(std::move(candidates), staleness.startedRequests, random) : pickLowest(candidates);
+    const auto chosen =
+        staleness.startedRequests > 1 ? pickByWaterFilling(std::move(candidates), staleness.startedRequests, connected, random) : pickLowest(candidates);
     return {chosen.target, false, chosen.load, freeCapacity, staleness.startedRequests};
 }
 
--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -5,6 +5,7 @@
 #include "fleet/replica_view.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <unordered_map>
@@ -47,6 +48,8 @@
     double prefillSlotShare = 1; // share of the slots that pending prefill of one second occupies
     double maxJitter = 0.03; // maximum random addition to a load
     double remoteZonePenalty = 0.06; // load added to servers in another availability zone
+    /// The load that a server states in a response replaces the counts of peers for this time, in which their reports are no newer.
+    Duration statedLoadTime{milliseconds(100)};
     Duration peerTimeout{seconds(2)}; // the counts of a daemon that sends no reports are dropped after this time
 };
 
@@ -95,6 +98,8 @@
     void recordRequestEnd(const VmId &server, ReroutableCall *stream, unsigned pendingPrefillTokens = 0);
     /// Part of a stream arrived.
     void recordProgress(const VmId &server);
+    /// The server stated in a response that it has @p requests in progress or waiting, of all daemons.
+    void recordStatedLoad(const VmId &server, unsigned requests, TimePoint now);
     void recordFailure(const VmId &server, TimePoint now);
     void recordSuccess(const VmId &server);
     /// Detects stalled servers and reroutes their requests. Late ticks do not count, since received data may not be processed yet.
@@ -118,16 +123,22 @@
     ///
     /// When the counts of peers are old, all gateways would overload the least loaded target before the next counts arrive. The
     /// requests that all gateways send meanwhile are therefore distributed so that they fill the targets to the same level; if they
-    /// exceed the free capacity, each gateway admits the share that fits.
+    /// exceed the free capacity, each gateway admits the share that fits. A target of this distribution that is in @p connected, to which
+    /// this gateway has an idle connection, goes first.
     Choice choose(std::span<const ServingTarget> targets,
                   const ZoneId &zone,
                   std::span<const VmId> excluded,
                   TimePoint now,
                   std::mt19937_64 &random,
                   RequestStage stage = RequestStage::New,
-                  const StalenessEstimate &staleness = {}) const;
+                  const StalenessEstimate &staleness = {},
+                  std::span<const VmId> connected = {}) const;
 
 private:
+    struct StatedPeerRequests {
+        unsigned requests = 0; // of peers
+        TimePoint at{};
+    };
     struct Backend {
         unsigned own = 0; // requests in progress of this daemon
         unsigned pendingPrefillTokens = 0; // prompt tokens of this daemon's streams without an event
@@ -138,6 +149,7 @@
         unsigned failures = 0;
         TimePoint backoffUntil{};
         bool isStalled = false;
+        std::optional<StatedPeerRequests> stated; // until it is older than statedLoadTime
     };
     struct PeerLoads {
         std::vector<BackendLoad> loads;
@@ -159,7 +171,7 @@
     bool isStalled(const VmId &server) const;
     double loadLimit(const ServingTarget &target, RequestStage stage) const;
     static const Candidate &pickLowest(std::span<const Candidate> candidates);
-    static Candidate pickByWaterFilling(std::vector<Candidate> candidates, double requests, std::mt19937_64 &random);
+    static Candidate pickByWaterFilling(std::vector<Candidate> candidates, double requests, std::span<const VmId> connected, std::mt19937_64 &random);
     double loadOf(const ServingTarget &target) const;
     /// Seconds that the target needs for its pending prefill.
     double prefillSeconds(const ServingTarget &target) const;
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -3,6 +3,7 @@
 #include "core/time_units.h"
 #include "gateway/forward_call.h"
 #include "gateway/http_fields.h"
+#include "observe/metrics.h"
 
 #include <boost/beast/http.hpp>
 
@@ -28,6 +29,7 @@
 constexpr unsigned MaxStaleResponses = 2;
 constexpr unsigned MaxInterimResponses = 8;
 constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned MisdirectedRequest = 421; // the server is not the one that the request names
 
 /// Keeps a request in the load tracker while it exists, also when an exception ends its scope.
 class TrackedAttempt
@@ -119,10 +121,14 @@
     }
     if (!isRead) {
         link.connection->close();
+        if (link.isReused && !isCallerGone_) {
+            context_.pool.closeIdle(target.server);
+        }
         co_return AttemptEnd::Failed;
     }
     const auto &header = response->get();
-    const bool isNotRun = header.result_int() == 421 || header.find(context_.names.notExecuted) != header.end();
+    recordStatedLoad(header, target.server);
+    const bool isNotRun = header.result_int() == MisdirectedRequest || header.find(context_.names.notExecuted) != header.end();
     if (isNotRun) {
         // The body says nothing more, and another server can have the request meanwhile.
         link.connection->limit(RejectionBodyTimeout);
@@ -150,6 +156,21 @@
     co_return co_await relayCompleteResponse(link, *response);
 }
 
+/// Uses the load that the server states in its response, if any. A server that refuses requests for another one states its own load.
+void ForwardCall::recordStatedLoad(const Response::value_type &header, const VmId &server)
+{
+    const auto &names = context_.names;
+    const auto field = names.parseServerLoad == nullptr ? header.end() : header.find(names.serverLoad);
+    if (field == header.end() || header.result_int() == MisdirectedRequest) {
+        return;
+    }
+    if (const auto load = names.parseServerLoad(field->value())) {
+        context_.loadTracker.recordStatedLoad(server, load->running + load->waiting, context_.now());
+    } else {
+        metricsRegistry().count(CounterMetric::IgnoredServerLoads, "malformed");
+    }
+}
+
 asio::awaitable<bool> ForwardCall::sendRequest(BackendLink &link, const ServingTarget &target)
 {
     CallerRequest message(request_.method(), request_.target(), 11);
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -176,7 +176,8 @@
         context_.demand.recordChoice(pool, now);
     }
     const auto staleness = context_.countAge == Duration{} ? StalenessEstimate() : context_.demand.staleness(pool, context_.countAge, now);
-    const auto choice = context_.loadTracker.choose(targets, context_.settings.zone, excluded_, now, context_.random, stage(), staleness);
+    const auto choice =
+        context_.loadTracker.choose(targets, context_.settings.zone, excluded_, now, context_.random, stage(), staleness, context_.pool.connectedServers());
     entry_.load = choice.load;
     entry_.freeCapacity = choice.freeCapacity;
     entry_.expected = choice.expected;
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -59,6 +59,7 @@
     asio::awaitable<AttemptEnd> attempt(ServingTarget target);
     asio::awaitable<AttemptEnd> connectAndExchange(ServingTarget target);
     asio::awaitable<AttemptEnd> exchange(BackendLink &link, ServingTarget target);
+    void recordStatedLoad(const Response::value_type &header, const VmId &server);
     asio::awaitable<bool> sendRequest(BackendLink &link, const ServingTarget &target);
     asio::awaitable<bool> readHeader(BackendLink &link, std::optional<Response> &response);
     asio::awaitable<bool> readBody(BackendLink &link, Response &response, std::string &body);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -33,6 +33,7 @@
     {"carawaypoint_platform_errors_total", "code", "Failed calls to the platform by result code"},
     {"carawaypoint_peer_bytes_total", "direction", "Bytes of the inner protocol"},
     {"carawaypoint_engine_orders_total", "code", "Orders to engines by result code"},
+    {"carawaypoint_ignored_server_loads_total", "reason", "Loads stated by backend servers that were not used"},
 };
 // In the order of GaugeMetric.
 constexpr MetricInfo GaugeInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -27,6 +27,7 @@
     PlatformErrors, // code: name of the result code
     PeerBytes, // direction: in, out
     EngineOrders, // code: name of the result code
+    IgnoredServerLoads, // reason: malformed
 };
 
 /// Gauges. The comment names the label and, after a colon, its values.
--- a/tests/gateway/faulty_backend_test.cpp
+++ b/tests/gateway/faulty_backend_test.cpp
@@ -251,6 +251,46 @@
     EXPECT_EQ(backend.connections(), 1);
 }
 
+// Guards against request after request on connections that a reset or a middlebox has ended all at once: after one failure the other idle
+// connections to the server are not used.
+TEST_F(FaultyBackend, failureOnAReusedConnectionDiscardsTheIdleOnes)
+{
+    constexpr int Kept = 6;
+    std::atomic<int> waiting = 0;
+    std::atomic<bool> isReset = false;
+    std::atomic<int> lost = 0;
+    FakeServer backend([&](const TestMessage &message, TestConnection &connection) {
+        thread_local const bool isOpenedAfterReset = isReset; // each connection has its own thread
+        const auto id = message.header("x-id");
+        if (isReset && !isOpenedAfterReset) {
+            ++lost;
+            return false;
+        }
+        if (id.starts_with("first")) {
+            ++waiting;
+            waitFor([&] { return waiting == Kept; });
+        }
+        return connection.write(answer(id, "ok"));
+    });
+    start({backend.endpoint()});
+    std::vector<TestConnection> callers;
+    for (int number = 0; number < Kept; ++number) {
+        callers.push_back(connect());
+        callers.back().write(request("/b/", "first" + std::to_string(number)));
+    }
+    for (auto &caller : callers) {
+        ASSERT_TRUE(caller.read());
+    }
+    isReset = true;
+    for (int number = 0; number < Kept; ++number) {
+        auto caller = connect();
+        caller.write(request("/b/", "late" + std::to_string(number)));
+        ASSERT_TRUE(caller.read());
+        runOnTrafficThread([this] { context_->loadTracker.recordSuccess(VmId("plain-1")); });
+    }
+    EXPECT_EQ(lost, 1);
+}
+
 // Guards against a second copy of a response that waits on an idle connection and becomes the answer to the next request.
 TEST_F(FaultyBackend, connectionWithUnreadBytesIsNotReused)
 {
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -144,6 +144,48 @@
     EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target, nullptr);
 }
 
+// Guards against sending requests to a replica that other daemons have filled since their last reports, although the replica states its
+// load in each response, and against trusting that statement when it is old.
+TEST(BackendLoadTracker, statedLoadReplacesCountsOfPeersForAShortTime)
+{
+    std::mt19937_64 random(1);
+    BackendLoadTracker loadTracker;
+    const ServingTarget targets[] = {makeTarget("x"), makeTarget("y")};
+    loadTracker.tick(Start);
+    loadTracker.setPeerLoads(MemberId("p"), {{VmId("y"), 3, 0, false}}, Start);
+    loadTracker.recordRequestStart(VmId("x"), nullptr);
+    loadTracker.recordStatedLoad(VmId("x"), 9, Start);
+    EXPECT_EQ(loadTracker.requestsAt(VmId("x")), 9U);
+    loadTracker.recordRequestEnd(VmId("x"), nullptr);
+    EXPECT_EQ(loadTracker.requestsAt(VmId("x")), 8U) << "its own requests are known exactly";
+    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "y");
+    loadTracker.tick(Start + milliseconds(200));
+    EXPECT_EQ(loadTracker.requestsAt(VmId("x")), 0U);
+    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "x");
+}
+
+// Load: a gateway of a large fleet sends a few requests a second to a hundred replicas. Guards against a new connection for each of them,
+// and against a connected replica that is chosen although it is fuller than others.
+TEST(BackendLoadTracker, prefersConnectedTargetsThatAreNoFullerThanOthers)
+{
+    std::mt19937_64 random(1);
+    BackendLoadTracker loadTracker;
+    ServingTargets targets;
+    for (int number = 0; number < 20; ++number) {
+        targets.push_back(makeTarget("vm-" + std::to_string(number)));
+    }
+    const VmId connected[] = {VmId("vm-7"), VmId("vm-8")};
+    for (int round = 0; round < 20; ++round) {
+        const auto choice = loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::New, {20, 0}, connected);
+        EXPECT_TRUE(choice.target->server == connected[0] || choice.target->server == connected[1]);
+    }
+    loadTracker.setPeerLoads(MemberId("p"), {{VmId("vm-7"), 9, 0, false}, {VmId("vm-8"), 9, 0, false}}, Start);
+    for (int round = 0; round < 20; ++round) {
+        const auto choice = loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::New, {20, 0}, connected);
+        EXPECT_FALSE(choice.target->server == connected[0] || choice.target->server == connected[1]);
+    }
+}
+
 // Guards against refusing a retry after a refusal: its caller gives up, while the caller of a refused new request retries.
 TEST(BackendLoadTracker, retriedRequestsGetCapacityThatNewOnesAreRefused)
 {
