Measure the age of the counts that come through relays

Cause: gateways took the counts of others for 0.25 s old in every fleet and at every moment. Reports of slow gateways and sums of remote zones may be later, and then the requests of the missing time are admitted twice. Change: each sum states the mean age of its counts, weighted by requests; a gateway adds the time since it arrived. Request lines state the age. LoadSums takes the summing out of LoadExchange, without sockets.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "gateway/backend_connection_pool.h"
 #include "gateway/backend_load_tracker.h"
+#include "gateway/count_age.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/fleet_retry_budget.h"
 #include "gateway/memory_budget.h"
@@ -44,7 +45,7 @@
     FleetSnapshotPtr snapshot; // null until the configuration and the servers are known
     BackendLoadTracker loadTracker;
     FleetDemand demand;
-    Duration countAge{}; // mean age of other gateways' counts; zero when they report directly to this one
+    CountAge countAge; // of other gateways' requests
     MemoryBudget responseMemory;
     FleetRetryBudget retryBudget;
     RequestLog log;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -17,11 +17,8 @@
 
 /// Interval between reports, in which the requests of a replica change by a few.
 constexpr Duration ReportInterval = milliseconds(150);
-/// A report older than this is excluded from sums, since its gateway may be gone.
-constexpr Duration ReportTimeout = seconds(1);
-
-/// Mean age of counts that arrive through relays: half an interval at the gateway and at each relay.
-constexpr Duration RelayedCountAge = milliseconds(250);
+/// Mean age of counts that arrive through relays, until the first sum states it: half an interval at the gateway and at each relay.
+constexpr Duration InitialCountAge = milliseconds(250);
 
 /// Subtracts the requests and tokens in @p own from @p loads.
 std::vector<BackendLoad> subtractLoads(std::vector<BackendLoad> loads, std::span<const BackendLoad> own)
@@ -39,37 +36,6 @@
     return loads;
 }
 
-void addUnmet(std::vector<UnmetLoad> &sums, std::span<const UnmetLoad> loads)
-{
-    for (const auto &load : loads) {
-        const auto found = std::find_if(sums.begin(), sums.end(), [&load](const UnmetLoad &sum) { return sum.pool == load.pool; });
-        if (found == sums.end()) {
-            sums.push_back(load);
-        } else {
-            found->requests += load.requests;
-        }
-    }
-}
-
-std::vector<BackendLoad> toList(const std::unordered_map<VmId, BackendLoad> &sums)
-{
-    std::vector<BackendLoad> loads;
-    loads.reserve(sums.size());
-    for (const auto &[server, load] : sums) {
-        loads.push_back(load);
-    }
-    return loads;
-}
-
-void addLoads(std::unordered_map<VmId, BackendLoad> &sums, std::span<const BackendLoad> loads)
-{
-    for (const auto &load : loads) {
-        auto &sum = sums[load.server];
-        sum.server = load.server;
-        sum.add(load);
-    }
-}
-
 }
 
 LoadExchange::LoadExchange(GatewayContext &context, std::uint64_t process)
@@ -99,7 +65,11 @@
 {
     const auto &settings = context_.settings;
     relayPlan_ = RelayPlan({settings.id, settings.zone, settings.peer, settings.changes, settings.linkMbps}, peers);
-    context_.countAge = relayPlan_.isDirect() ? Duration() : RelayedCountAge;
+    if (relayPlan_.isDirect()) {
+        context_.countAge.setCurrent();
+    } else if (context_.countAge.at(context_.now()) == Duration{}) {
+        context_.countAge.set(InitialCountAge, context_.now());
+    }
 }
 
 void LoadExchange::stop()
@@ -123,7 +93,7 @@
         return;
     }
     if (relayPlan_.isRelay()) {
-        zoneReports_[report.gateway] = {report, context_.now()};
+        sums_.setReport(report, context_.now());
         context_.demand.recordReport(report.gateway.str(), report.requestsStarted, context_.now());
     }
     unmetLoads_[report.gateway] = {report.unmet, context_.now()};
@@ -139,7 +109,9 @@
         return;
     }
     if (relayPlan_.isRelay()) {
-        otherZoneSums_[report.zone] = {report, context_.now()};
+        sums_.setZoneSum(report, context_.now());
+    } else if (report.isFleetSum) {
+        context_.countAge.set(report.countAge, context_.now());
     }
     const MemberId source(report.isFleetSum ? "fleet" : "zone." + report.zone.str());
     unmetLoads_[source] = {report.unmet, context_.now()};
@@ -148,42 +120,6 @@
     context_.loadTracker.setPeerLoads(source, std::move(loads), context_.now());
 }
 
-GatewayLoadReport LoadExchange::zoneSum() const
-{
-    std::unordered_map<VmId, BackendLoad> sums;
-    GatewayLoadReport sum;
-    sum.zone = context_.settings.zone;
-    sum.requestsStarted = context_.requestsStarted;
-    addLoads(sums, context_.loadTracker.ownLoads());
-    sum.unmet = context_.demand.unmetLoads(context_.now());
-    for (const auto &[gateway, received] : zoneReports_) {
-        if (context_.now() - received.at < ReportTimeout) {
-            addLoads(sums, received.report.loads);
-            sum.requestsStarted += received.report.requestsStarted;
-            addUnmet(sum.unmet, received.report.unmet);
-        }
-    }
-    sum.loads = toList(sums);
-    return sum;
-}
-
-GatewayLoadReport LoadExchange::fleetSum(const GatewayLoadReport &zoneSum) const
-{
-    auto sum = zoneSum;
-    sum.isFleetSum = true;
-    std::unordered_map<VmId, BackendLoad> sums;
-    addLoads(sums, zoneSum.loads);
-    for (const auto &[zone, received] : otherZoneSums_) {
-        if (context_.now() - received.at < ReportTimeout) {
-            addLoads(sums, received.report.loads);
-            sum.requestsStarted += received.report.requestsStarted;
-            addUnmet(sum.unmet, received.report.unmet);
-        }
-    }
-    sum.loads = toList(sums);
-    return sum;
-}
-
 FleetLoad LoadExchange::fleetLoad() const
 {
     FleetLoad result;
@@ -192,7 +128,7 @@
     }
     auto unmet = context_.demand.unmetLoads(context_.now());
     for (const auto &[source, received] : unmetLoads_) {
-        if (context_.now() - received.at < ReportTimeout) {
+        if (context_.now() - received.at < LoadSums::ReportTimeout) {
             addUnmet(unmet, received.loads);
         }
     }
@@ -216,11 +152,23 @@
     return result;
 }
 
-void LoadExchange::sendSums()
+GatewayLoadReport LoadExchange::ownReport() const
+{
+    GatewayLoadReport own;
+    own.loads = context_.loadTracker.ownLoads();
+    own.requestsStarted = context_.requestsStarted;
+    own.unmet = context_.demand.unmetLoads(context_.now());
+    return own;
+}
+
+void LoadExchange::sendSums(GatewayLoadReport own)
 {
-    const auto sum = zoneSum();
-    send(sum, relayPlan_.otherZoneRelays());
-    send(fleetSum(sum), relayPlan_.zonePeers());
+    own.zone = context_.settings.zone;
+    const auto zoneSum = sums_.zoneSum(own, context_.now());
+    const auto fleetSum = sums_.fleetSum(zoneSum, context_.now());
+    context_.countAge.set(fleetSum.countAge, context_.now());
+    send(zoneSum, relayPlan_.otherZoneRelays());
+    send(fleetSum, relayPlan_.zonePeers());
 }
 
 void LoadExchange::send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers)
@@ -248,14 +196,11 @@
             break;
         }
         hasSeenTraffic_ = hasSeenTraffic_ || context_.requestsStarted > 0;
-        GatewayLoadReport own;
-        own.loads = context_.loadTracker.ownLoads();
-        own.requestsStarted = context_.requestsStarted;
-        own.unmet = context_.demand.unmetLoads(context_.now());
+        auto own = ownReport();
         send(own, relayPlan_.reportReceivers());
         // The relays of a zone send in turn, so that their number does not multiply what the other gateways receive.
         if (relayPlan_.isRelay() && ++rounds_ % RelayPlan::RelaysPerZone == relayPlan_.relayRank()) {
-            sendSums();
+            sendSums(std::move(own));
         }
     }
 }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_context.h"
 #include "gateway/load_report_codec.h"
+#include "gateway/load_sums.h"
 #include "gateway/relay_plan.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -45,10 +46,9 @@
     asio::awaitable<void> sendReports();
     void applyReport(GatewayLoadReport report);
     void applySum(GatewayLoadReport report);
-    void sendSums();
-    GatewayLoadReport zoneSum() const;
-    /// Sum of all zones, for the gateways of this relay's zone.
-    GatewayLoadReport fleetSum(const GatewayLoadReport &zoneSum) const;
+    GatewayLoadReport ownReport() const;
+    /// At a relay: sends the sum of its zone to the other zones, and the sum of all zones to its own.
+    void sendSums(GatewayLoadReport own);
     void send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers);
 
     GatewayContext &context_;
@@ -57,16 +57,11 @@
     asio::ip::udp::socket socket_;
     asio::steady_timer timer_;
     RelayPlan relayPlan_;
-    struct Received {
-        GatewayLoadReport report;
-        TimePoint at{};
-    };
     struct ReceivedUnmet {
         std::vector<UnmetLoad> loads;
         TimePoint at{};
     };
-    std::map<MemberId, Received> zoneReports_; // at a relay: latest reports of the gateways of its zone
-    std::map<ZoneId, Received> otherZoneSums_; // at a relay: latest sums of the other zones
+    LoadSums sums_; // at a relay
     std::map<MemberId, ReportId> latestReports_;
     bool hasSeenTraffic_ = false;
     std::size_t rounds_ = 0; // own reports sent
--- a/src/gateway/load_report.capnp
+++ b/src/gateway/load_report.capnp
@@ -29,4 +29,5 @@
     zone @5 :Text; # set in sums: availability zone whose gateways are summed up, or of the sender if isFleetSum is set
     unmet @6 :List(UnmetLoad);
     isFleetSum @7 :Bool; # the gateways of all zones are summed up
+    countAgeMs @8 :UInt32; # in sums: mean age of the counts when the sum was sent
 }
--- a/src/gateway/load_report.capnp.h
+++ b/src/gateway/load_report.capnp.h
@@ -307,6 +307,8 @@
 
   inline bool getIsFleetSum() const;
 
+  inline  ::uint32_t getCountAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -375,6 +377,9 @@
   inline bool getIsFleetSum();
   inline void setIsFleetSum(bool value);
 
+  inline  ::uint32_t getCountAgeMs();
+  inline void setCountAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -767,6 +772,20 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LoadReport::Reader::getCountAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getCountAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setCountAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -1,5 +1,6 @@
 #include "gateway/load_report_codec.h"
 
+#include "core/time_units.h"
 #include "gateway/load_report.capnp.h"
 #include "protocol/packed_message.h"
 
@@ -7,6 +8,7 @@
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace carawaypoint
@@ -16,6 +18,8 @@
 {
 /// More unmet requests of one pool than any fleet can have; a report with more is invalid.
 constexpr double MaxUnmetRequests = 1e6;
+/// Older counts are not used at all; a report with more is malformed.
+constexpr Duration MaxCountAge = seconds(2);
 }
 
 std::vector<std::byte> encodeReport(const GatewayLoadReport &report)
@@ -28,6 +32,7 @@
     root.setRequestsBegun(report.requestsStarted);
     root.setZone(report.zone.str());
     root.setIsFleetSum(report.isFleetSum);
+    root.setCountAgeMs(static_cast<std::uint32_t>(std::max<std::int64_t>(0, inMilliseconds(report.countAge))));
     auto unmet = root.initUnmet(static_cast<unsigned>(report.unmet.size()));
     for (unsigned i = 0; i < unmet.size(); ++i) {
         unmet[i].setService(report.unmet[i].pool.first.str());
@@ -58,6 +63,7 @@
         report.requestsStarted = root.getRequestsBegun();
         report.zone = ZoneId(root.getZone().cStr());
         report.isFleetSum = root.getIsFleetSum();
+        report.countAge = std::min<Duration>(milliseconds(root.getCountAgeMs()), MaxCountAge);
         for (const auto unmet : root.getUnmet()) {
             const double requests = unmet.getRequests();
             if (std::isfinite(requests) && requests > 0 && requests <= MaxUnmetRequests) {
--- a/src/gateway/load_report_codec.h
+++ b/src/gateway/load_report_codec.h
@@ -22,6 +22,7 @@
     ZoneId zone{}; // set in sums; empty in the report of one gateway
     std::vector<UnmetLoad> unmet{}; // only pools that rejected requests recently
     bool isFleetSum = false; // sums up all zones; zone is that of the sender
+    Duration countAge{}; // in sums: mean age of the counts when the sum was sent
 };
 
 /// Maximum size of a datagram; sufficient for the sums of some thousand replicas.
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -60,6 +60,7 @@
              {"load", entry.load},
              {"room", entry.freeCapacity},
              {"expected", entry.expected},
+             {"count_age_ms", inMilliseconds(entry.countAge)},
              {"config_version", entry.configVersion},
              {"first_event_ms", inMilliseconds(entry.firstEvent)},
              {"total_ms", inMilliseconds(entry.total)}});
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -25,6 +25,7 @@
     double load = 0; // of the last server when it was chosen, in requests per slot
     double freeCapacity = 0; // requests that the servers of the pool could accept at that time
     double expected = 0; // requests of all gateways that competed for freeCapacity; 0 when the counts were current
+    Duration countAge{}; // of other gateways' requests; zero when the counts were current
     std::uint64_t configVersion = 0;
     Duration total{};
     Duration firstEvent{}; // zero when there was no event
