Admit one request a slot; let new requests pass those of refused callers

Change: 1.0 requests a slot for new requests and 1.1 for callers that retry. Requests carry a queue priority: streams that continue, then new requests, then those of callers that were refused, within the priority of the customer or route. Three tests of limits use the new ones; they check the same properties.

--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -37,11 +37,12 @@
     Duration stallBackoff{seconds(7)}; // a stalled server is tried again after this time
     Duration failureBackoff{milliseconds(1500)}; // after a failure; doubled for each further consecutive one
     unsigned maxBackoffDoublings = 3;
-    /// Load limits of a replica, in requests per slot. Beyond maxLoad the queue alone would make new requests late. Callers that retry
-    /// after a refusal are late already and would give up after another one. Interrupting a started stream is worse than slowing
+    /// Load limits of a replica, in requests per slot. A request beyond its slots waits until another one ends, which is longer than the
+    /// target time of short ones allows; in a long peak a queue would make all of them late. Callers that retry after a refusal are late
+    /// already and would give up after another one; they wait behind new requests. Interrupting a started stream is worse than slowing
     /// others down a little.
-    double maxLoad = 1.1;
-    double maxLoadForRetries = 1.2;
+    double maxLoad = 1.0;
+    double maxLoadForRetries = 1.1;
     double maxLoadForStartedStreams = 1.7;
     double maxPlainLoad = 3; // same for servers of plain services, whose requests are short
     double prefillWeight = 2; // load equivalent of pending prefill that takes one second
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -184,6 +184,9 @@
     }
     message.set(context_.names.expectedServer, target.server.str());
     message.set(context_.names.deadline, std::to_string(std::max<std::int64_t>(1, inMilliseconds(remaining()))));
+    if (!context_.names.priority.empty()) {
+        message.set(context_.names.priority, std::to_string(queuePriority()));
+    }
     if (lastEventId_ && hasEvents_) {
         message.set("Last-Event-Id", std::to_string(*lastEventId_));
     }
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -24,6 +24,8 @@
 /// No attempt is started with less time than this until the deadline.
 constexpr Duration MinAttemptTime = milliseconds(20);
 constexpr unsigned MaxFailedConnects = 3;
+/// Larger configured priorities count as this one, so that two stages of each fit the range of the header.
+constexpr unsigned MaxConfiguredPriority = 3;
 
 /// Counts while it exists, also when an exception ends its scope.
 class ScopedCount
@@ -108,6 +110,7 @@
             return false;
         }
         customer_ = customer->id;
+        customerPriority_ = customer->priority;
         entry_.customer = customer_.str();
     }
     if (entry_.id.empty()) {
@@ -164,6 +167,17 @@
     return isRetry_ ? RequestStage::Retried : RequestStage::New;
 }
 
+/// Order among the requests that wait at a server; smaller ones go first. A started stream would pause, a new request can still be in time,
+/// and that of a caller who was refused before is late already. Among these the priority of the customer or else of the route decides.
+unsigned ForwardCall::queuePriority() const
+{
+    if (stage() == RequestStage::StreamStarted) {
+        return 0;
+    }
+    const auto configured = std::min(customerPriority_.value_or(route_->priority), MaxConfiguredPriority);
+    return 1 + 2 * configured + (stage() == RequestStage::Retried ? 1 : 0);
+}
+
 const ServingTarget *ForwardCall::chooseTarget()
 {
     // Uses the current snapshot, so that servers that have left meanwhile get no more attempts.
@@ -175,12 +189,14 @@
     if (excluded_.empty() && !targets.empty()) {
         context_.demand.recordChoice(pool, now);
     }
-    const auto staleness = context_.countAge == Duration{} ? StalenessEstimate() : context_.demand.staleness(pool, context_.countAge, now);
+    const auto countAge = context_.countAge.at(now);
+    const auto staleness = countAge == Duration{} ? StalenessEstimate() : context_.demand.staleness(pool, countAge, now);
     const auto choice =
         context_.loadTracker.choose(targets, context_.settings.zone, excluded_, now, context_.random, stage(), staleness, context_.pool.connectedServers());
     entry_.load = choice.load;
     entry_.freeCapacity = choice.freeCapacity;
     entry_.expected = choice.expected;
+    entry_.countAge = countAge;
     if (choice.target != nullptr) {
         return choice.target;
     }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -53,6 +53,7 @@
     const ServiceId &pickService() const;
     ServerPool serverPool() const;
     RequestStage stage() const;
+    unsigned queuePriority() const;
     const ServingTarget *chooseTarget();
     void recordRejection(const ServerPool &pool);
 
@@ -92,6 +93,7 @@
     FleetSnapshotPtr snapshot_;
     const Route *route_ = nullptr; // owned by the snapshot's configuration
     CustomerId customer_;
+    std::optional<unsigned> customerPriority_;
     ServiceId service_;
     ModelId model_;
 
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -25,6 +25,7 @@
     std::string signature; // response header: present when a backend server created the response
     std::string model; // header: model that the request is for
     std::string tokenUsage; // header: tokens of the prompt, and maximum tokens of the response
+    std::string priority; // header to backend servers: 0 to 9, smaller ones are taken from the server's queue first; empty when there is none
     std::string serverLoad; // response header: load of the backend server; empty when the platform has none
     std::optional<StatedLoad> (*parseServerLoad)(std::string_view text) = nullptr; // empty result when the value is malformed
     std::string keyScheme; // scheme of the Authorization header
--- a/tests/gateway/forward_call_test.cpp
+++ b/tests/gateway/forward_call_test.cpp
@@ -33,6 +33,27 @@
     EXPECT_LE(std::stoi(seen.header("x-deadline")), 1500); // the route's timeout is shorter than the caller's deadline
 }
 
+// Load: a peak in which refused callers return. Guards against new requests, which can still be in time, behind those that are late already in
+// a server's queue, and against callers who choose their own priority.
+TEST_F(GatewayForward, newRequestsGoBeforeThoseOfRefusedCallers)
+{
+    std::vector<std::string> priorities;
+    FakeServer backend([&priorities](const TestMessage &message, TestConnection &connection) {
+        priorities.push_back(message.header("x-priority"));
+        return connection.write(answer(message.header("x-id"), "ok"));
+    });
+    start({backend.endpoint()});
+    auto caller = connect();
+    const std::string head = "POST /r/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token key-1\r\nX-Priority: 0\r\nContent-Length: 0\r\n";
+    caller.write(head + "X-Id: q1\r\nX-Deadline: 1400\r\n\r\n");
+    ASSERT_TRUE(caller.read());
+    caller.write(head + "X-Id: q2\r\nX-Deadline: 600\r\n\r\n");
+    ASSERT_TRUE(caller.read());
+    ASSERT_EQ(priorities.size(), 2U);
+    EXPECT_EQ(priorities[0], "1");
+    EXPECT_EQ(priorities[1], "2");
+}
+
 TEST_F(GatewayForward, refusesUnknownRoutesAndKeys)
 {
     FakeServer backend([](const TestMessage &, TestConnection &connection) { return connection.write(answer("q", "x")); });
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -21,6 +21,7 @@
     names_.signature = "X-Signature";
     names_.model = "X-Model";
     names_.tokenUsage = "X-Tokens";
+    names_.priority = "X-Priority";
     names_.keyScheme = "Token";
 }
 
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -194,7 +194,7 @@
     ServingTarget target = makeTarget("x");
     target.slots = 20;
     target.replica = ReplicaId("r1");
-    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 22, 0, false}}, Start);
+    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 21, 0, false}}, Start);
     const std::span<const ServingTarget> targets(&target, 1);
     EXPECT_TRUE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).isFull);
     EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::Retried).target, nullptr);
@@ -212,9 +212,9 @@
     target.replica = ReplicaId("r1");
     target.prefillTokensPerSecond = 50000;
     const std::span<const ServingTarget> targets(&target, 1);
-    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 18, 5000, false}}, Start);
+    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 17, 5000, false}}, Start);
     EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target, nullptr);
-    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 18, 60000, false}}, Start);
+    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 17, 60000, false}}, Start);
     EXPECT_TRUE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).isFull);
     EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::StreamStarted).target, nullptr)
         << "a started stream would be interrupted";
@@ -229,7 +229,7 @@
     target.slots = 20;
     target.replica = ReplicaId("r1");
     const std::span<const ServingTarget> targets(&target, 1);
-    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 17, 0, false}}, Start);
+    loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 15, 0, false}}, Start);
     const StalenessEstimate staleness{.startedRequests = 20, .endedShare = 0};
     int admitted = 0;
     for (int round = 0; round < 1000; ++round) {
