Keep followers from polling the daemons in an outage; 1.05 requests a slot for retries

Cause: a follower that the store had failed read the list of daemons every 3 s, although its relays do not change meanwhile.

--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -42,7 +42,7 @@
     /// already and would give up after another one; they wait behind new requests. Interrupting a started stream is worse than slowing
     /// others down a little.
     double maxLoad = 1.0;
-    double maxLoadForRetries = 1.1;
+    double maxLoadForRetries = 1.05;
     double maxLoadForStartedStreams = 1.7;
     double maxPlainLoad = 3; // same for servers of plain services, whose requests are short
     double prefillWeight = 2; // load equivalent of pending prefill that takes one second
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -207,14 +207,12 @@
     if (isNewFleet_ && age < NewFleetPollTime) {
         return NewFleetPollInterval;
     }
-    if (!isStoreReachable_) {
-        return UnreachablePollInterval;
-    }
+    // While the store is unavailable, a follower probes it for the configuration; its relays do not change meanwhile.
     const bool isFollower = mirror_.isStarted() && !mirror_.isWatching() && !mirror_.plan().isRelay();
     if (isFollower) {
         return age < StartPollTime ? StartPollInterval : FollowerPollInterval;
     }
-    return PollInterval;
+    return isStoreReachable_ ? PollInterval : UnreachablePollInterval;
 }
 
 /// Whether this gateway competes for the lease. In a large fleet only some do, so that not all write at the same time when it lapses.
