Answer only gateways of the zone; build the list of servers once

Read-through: StoreMirror and ChangeRelay both copied the objects of a list; requests of unknown senders got changes and differences of the configuration; a gateway that stopped probing while a list was in progress logged it in each tick.

--- a/src/gateway/change_relay.cpp
+++ b/src/gateway/change_relay.cpp
@@ -56,8 +56,7 @@
         applyConfigUpdate(*notice.configUpdate);
     }
     if (step == ChangeFollower::Step::Apply && notice.isList) {
-        replaceServers(notice);
-        hooks_.onList(notice);
+        applyList(notice);
     } else if (step == ChangeFollower::Step::Apply) {
         changes_.add(notice.fromRevision, notice.toRevision, notice.changes);
         servers_.apply(notice.changes);
@@ -78,7 +77,7 @@
     hooks_.onConfig(update.version, *std::move(text));
 }
 
-void ChangeRelay::replaceServers(const ChangeNotice &list)
+void ChangeRelay::applyList(const ChangeNotice &list)
 {
     std::vector<StoredObject> objects;
     objects.reserve(list.changes.size());
@@ -87,9 +86,10 @@
     }
     servers_.replaceAll(objects);
     changes_.reset(list.toRevision);
+    hooks_.onList(objects, list.toRevision);
 }
 
-/// Only gateways of the zone get lists: an answer is a thousand times as long as its request, whose sender may be forged.
+/// Only gateways of the zone get answers: a list is a thousand times as long as the request for it, whose sender may be forged.
 bool ChangeRelay::isReceiver(const Endpoint &endpoint) const
 {
     const auto &receivers = plan_.changeReceivers();
@@ -98,7 +98,7 @@
 
 void ChangeRelay::sendList(const Known &known, const Endpoint &receiver)
 {
-    if (!known.isConfirmed || servers_.isEmpty() || !isReceiver(receiver)) {
+    if (servers_.isEmpty()) {
         return;
     }
     if (encodedList_.datagrams.empty() || encodedList_.revision != known.revision) {
@@ -118,18 +118,18 @@
         answers_ = 0;
     }
     const auto known = hooks_.known();
-    if (!plan_.isRelay() || ++answers_ > MaxAnswersPerInterval) {
+    if (!plan_.isRelay() || !isReceiver(sender) || ++answers_ > MaxAnswersPerInterval) {
         return;
     }
     if (auto notice = changes_.since(request.revision)) {
         notice->configVersion = known.configVersion;
         notice->remainingDeferral = known.remainingDeferral;
         feed_.send(*notice, std::span(&sender, 1));
-    } else {
+    } else if (known.isConfirmed) {
         sendList(known, sender);
     }
-    const bool mayGetWholeConfig = known.isConfirmed && isReceiver(sender);
-    auto update = mayGetWholeConfig || request.configVersion > 0 ? configs_.updateFrom(request.configVersion) : std::nullopt;
+    // A list or a whole configuration of an unconfirmed relay may be seconds old.
+    auto update = known.isConfirmed || request.configVersion > 0 ? configs_.updateFrom(request.configVersion) : std::nullopt;
     if (update) {
         auto notice = makeNotice();
         notice.configUpdate = std::move(update);
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -32,7 +32,7 @@
         std::function<Known()> known;
         std::function<void(const ChangeNotice &)> onNotice; // called for each notice
         std::function<void(const ChangeNotice &)> onChanges; // the notice continues from the known revision
-        std::function<void(const ChangeNotice &)> onList; // the notice lists all servers and is newer than the known revision
+        std::function<void(std::span<const StoredObject> servers, std::uint64_t revision)> onList; // all servers at a later revision
         std::function<void(std::uint64_t version, std::string text)> onConfig;
         std::function<bool()> isFollowing; // whether changes are to be applied, since the store is not watched
         std::function<void()> askStore; // the relays did not send what is missing
@@ -73,7 +73,7 @@
     void handleNotice(const ChangeNotice &notice, TimePoint now);
     void applyConfigUpdate(const ConfigUpdate &update);
     void answer(const ChangeRequest &request, const Endpoint &sender, TimePoint now);
-    void replaceServers(const ChangeNotice &list);
+    void applyList(const ChangeNotice &list);
     void sendList(const Known &known, const Endpoint &receiver);
     bool isReceiver(const Endpoint &endpoint) const;
     ChangeNotice makeNotice() const;
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -129,14 +129,9 @@
         applyServerEvents(notice.changes);
         hooks_.onChange();
     };
-    hooks.onList = [this](const ChangeNotice &notice) {
-        std::vector<StoredObject> objects;
-        objects.reserve(notice.changes.size());
-        for (const auto &change : notice.changes) {
-            objects.push_back(change.object);
-        }
-        serverWatcher_->adoptList(notice.toRevision);
-        appliedRevision_ = notice.toRevision;
+    hooks.onList = [this](std::span<const StoredObject> objects, std::uint64_t revision) {
+        serverWatcher_->adoptList(revision);
+        appliedRevision_ = revision;
         applyServers(objects);
         confirmIfCurrent();
         hooks_.onChange();
@@ -258,16 +253,16 @@
     if (!isProbing_) {
         serverWatcher_->resume();
     }
-    logDecision("store", "changes", isProbing_ ? "probed" : "watched", "no notice from a relay, or role of this gateway", {{"revision", appliedRevision_}});
+    logDecision("store", "changes", isProbing_ ? "probed" : "watched",
+                relay_.follower().receivesNotices(now) ? "role of this gateway" : "no notice from a relay", {{"revision", appliedRevision_}});
 }
 
 void StoreMirror::stopWatching(TimePoint now)
 {
-    if (isProbing_) {
-        isProbing_ = !configWatcher_->suspend();
-    } else if (!isReady()) {
+    if (isProbing_ ? !configWatcher_->suspend() : !isReady()) {
         return;
-    } else if (configWatcher_->suspend() && !serverWatcher_->suspend()) {
+    }
+    if (!std::exchange(isProbing_, false) && configWatcher_->suspend() && !serverWatcher_->suspend()) {
         configWatcher_->resume();
     }
     followingSince_ = now;
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -427,11 +427,11 @@
                 names.push_back(change.object.name);
             }
         };
-        hooks.onList = [this](const ChangeNotice &notice) {
-            known.revision = notice.toRevision;
+        hooks.onList = [this](std::span<const StoredObject> servers, std::uint64_t revision) {
+            known.revision = revision;
             names.clear();
-            for (const auto &change : notice.changes) {
-                names.push_back(change.object.name);
+            for (const auto &server : servers) {
+                names.push_back(server.name);
             }
         };
         hooks.onConfig = [this](std::uint64_t version, std::string text) {
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -468,6 +468,7 @@
 TEST(RelayPlan, gatewaysWithFastLinksBecomeRelays)
 {
     std::vector<PeerGateway> all;
+    all.reserve(40);
     for (int number = 0; number < 40; ++number) {
         all.push_back(
             {MemberId("g" + std::to_string(number)), ZoneId("z"), {"10.0.0.1", static_cast<std::uint16_t>(number + 1)}, {}, number == 17 ? 200U : 20U});
