Decide by the input whether a caller's connection is closed

Cause: a session was closed as idle because of how its wait ended, not because nothing had arrived. A planned stop and the limit of connections interrupted it with a request in its socket (a reset), also on a connection that was just opened. After the decision, the session read for half a second, so that a request that crossed the close was read whole, dropped, and its connection ended without an answer; its caller could not tell that from a request that had run.

Ruled out: the limit of connections as such (its test passed before), the idle timer against input in the same poll (the wait completes first).

After an idle close nothing is read any more. After a last response the session waits for the caller to close and reads nothing; only the rest of a request that was answered with an error is read and dropped. A planned stop leaves new connections open for their first request.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -105,7 +105,7 @@
 {
     context_.isDraining = true;
     for (const auto &[session, owner] : sessions_) {
-        if (session->idleSince() != TimePoint{}) {
+        if (session->hasServedRequest()) {
             session->closeIfIdle();
         }
     }
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -3,6 +3,7 @@
 #include "gateway/gateway_server.h"
 #include "observe/log.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -18,7 +19,7 @@
 
 /// Time limit for receiving the rest of a request body.
 constexpr Duration BodyTimeout = seconds(10);
-/// Time for a caller to read an error response before its connection is closed with unread input.
+/// Time for a caller to read the last response before its connection is closed with unread input.
 constexpr Duration LingerTimeout = milliseconds(500);
 /// A caller that does not acknowledge data for this long counts as gone.
 constexpr Duration CallerUserTimeout = seconds(10);
@@ -29,6 +30,7 @@
     : context_(context)
     , server_(server)
     , connection_(std::make_shared<Connection>(std::move(socket)))
+    , idleSince_(context.now())
 {
 }
 
@@ -59,12 +61,16 @@
         // GCC 12 does not short-circuit operands that contain co_await, so each step is a separate statement.
         const bool hasInput = co_await waitForRequest();
         if (!hasInput) {
-            break;
+            // A request that arrives from now on is not read, which tells its caller that it has not run.
+            connection_->close();
+            co_return;
         }
         Parser parser;
         const bool isRead = co_await readRequest(parser);
         if (!isRead) {
-            break;
+            co_await discardInput();
+            connection_->close();
+            co_return;
         }
         const auto call = std::make_shared<ForwardCall>(context_, connection_, parser.release(), receivedAt_);
         watchCaller(call);
@@ -72,24 +78,25 @@
         if (isWatching_) {
             connection_->socket().cancel(ignored);
         }
+        hasServedRequest_ = true;
     }
-    co_await closeGently();
+    co_await waitForPeerToClose();
+    connection_->close();
 }
 
 asio::awaitable<bool> GatewaySession::waitForRequest()
 {
-    if (connection_->buffer().size() == 0) {
-        if (context_.isDraining && idleSince_ != TimePoint{}) {
-            co_return false;
-        }
+    const bool mustNotWait = context_.isDraining && hasServedRequest_;
+    if (connection_->buffer().size() == 0 && !mustNotWait) {
         isIdle_ = true;
         idleSince_ = context_.now();
         connection_->limit(limits().idleTimeout);
-        const auto [error] = co_await connection_->socket().async_wait(asio::ip::tcp::socket::wait_read, UseResult);
+        co_await connection_->socket().async_wait(asio::ip::tcp::socket::wait_read, UseResult);
         connection_->unlimit();
-        if (error || connection_->isInterrupted()) {
-            co_return false;
-        }
+    }
+    // Decides by the input, since a request may arrive while the wait ends for another reason.
+    if (connection_->buffer().size() == 0 && !connection_->hasInput()) {
+        co_return false;
     }
     isIdle_ = false;
     receivedAt_ = context_.now();
@@ -169,28 +176,47 @@
 void GatewaySession::closeIfIdle()
 {
     if (isIdle_) {
-        connection_->interrupt();
+        boost::system::error_code ignored;
+        connection_->socket().cancel(ignored);
     }
 }
 
-/// Reads pending input before closing: closing a socket with unread bytes would reset the connection, and the caller could lose the
-/// response.
-asio::awaitable<void> GatewaySession::closeGently()
+/// Reads the rest of a request that was answered with an error: closing a socket with unread bytes would reset the connection, and the
+/// caller could lose the response.
+asio::awaitable<void> GatewaySession::discardInput()
 {
     boost::system::error_code ignored;
     connection_->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    if (!ignored && !connection_->isInterrupted()) {
-        std::array<char, 1024> space{};
-        connection_->limit(LingerTimeout);
-        while (true) {
-            const auto [error, bytes] = co_await connection_->socket().async_read_some(asio::buffer(space), UseResult);
-            if (error) {
-                break;
-            }
+    if (ignored) {
+        co_return;
+    }
+    std::array<char, 1024> space{};
+    connection_->limit(LingerTimeout);
+    while (true) {
+        const auto [error, bytes] = co_await connection_->socket().async_read_some(asio::buffer(space), UseResult);
+        if (error) {
+            break;
         }
-        connection_->unlimit();
     }
-    connection_->close();
+    connection_->unlimit();
+}
+
+/// Gives the caller time to read the last response. Bytes that it sends after that are not read: they may be a request, which would then
+/// neither be answered nor count as not read.
+asio::awaitable<void> GatewaySession::waitForPeerToClose()
+{
+    boost::system::error_code ignored;
+    connection_->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (ignored) {
+        co_return;
+    }
+    connection_->limit(LingerTimeout);
+    const auto [error] = co_await connection_->socket().async_wait(asio::ip::tcp::socket::wait_read, UseResult);
+    connection_->unlimit();
+    if (!error && !connection_->isPeerClosed()) {
+        asio::steady_timer pause(context_.io, LingerTimeout);
+        co_await pause.async_wait(UseResult);
+    }
 }
 
 }
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -27,6 +27,11 @@
     {
         return isIdle_;
     }
+    /// Whether the connection has been used for a request. The first request of a new connection may be on its way.
+    bool hasServedRequest() const
+    {
+        return hasServedRequest_;
+    }
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -37,7 +42,8 @@
     asio::awaitable<bool> readRequest(Parser &parser);
     asio::awaitable<void> sendErrorResponse(unsigned status, ResultCode code);
     void watchCaller(const std::shared_ptr<ForwardCall> &call);
-    asio::awaitable<void> closeGently();
+    asio::awaitable<void> discardInput();
+    asio::awaitable<void> waitForPeerToClose();
 
     GatewayContext &context_;
     GatewayServer &server_;
@@ -45,6 +51,7 @@
     TimePoint idleSince_{};
     TimePoint receivedAt_{};
     bool isIdle_ = true;
+    bool hasServedRequest_ = false;
     bool isWatching_ = false;
 };
 
