Keep a connection that the response says is kept

Cause: whether a caller's connection closes was evaluated twice, in the header of the response and after its end. A planned stop that began during a stream closed the connection although the header had said that it is kept; the next request on it was read and dropped, or reset.

Change: the header decides.

--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -70,6 +70,14 @@
     return request_.keep_alive() && !context_.isDraining && !mustCloseCaller_;
 }
 
+/// Status line and header fields of a response to the caller, which also say whether its connection is kept. A stop of the gateway that
+/// begins after this does not change that.
+std::string ForwardCall::responseHead(const http::fields &fields, unsigned status, std::string_view reason)
+{
+    isCloseAnnounced_ = !isCallerKept();
+    return headerText(fields, status, reason, !isCloseAnnounced_);
+}
+
 void ForwardCall::failWith(ResultCode code, std::string_view reason)
 {
     entry_.code = code;
@@ -243,7 +251,7 @@
             const auto end = co_await attempt(*target);
             if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLost) {
                 isAnswered = true;
-                isKept = end == AttemptEnd::Answered && isCallerKept();
+                isKept = end == AttemptEnd::Answered && !isCloseAnnounced_ && !mustCloseCaller_;
                 break;
             }
             if (!mayRetry(end)) {
@@ -326,13 +334,13 @@
         const auto afterMs = static_cast<std::int64_t>(static_cast<double>(inMilliseconds(retryAfter_)) * jitter(context_.random));
         fields.set(http::field::retry_after, std::to_string(afterMs / 1000) + "." + std::to_string(afterMs % 1000 / 100));
     }
-    auto text = headerText(fields, status, http::obsolete_reason(static_cast<http::status>(status)), isCallerKept());
+    auto text = responseHead(fields, status, http::obsolete_reason(static_cast<http::status>(status)));
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (request_.method() != http::verb::head) {
         text += body;
     }
     const bool isWritten = co_await writeCaller(std::move(text));
-    co_return isWritten &&isCallerKept();
+    co_return isWritten && !isCloseAnnounced_;
 }
 
 void ForwardCall::writeLog()
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -83,6 +83,7 @@
     void writeLog();
     Duration remaining() const;
     bool isCallerKept() const;
+    std::string responseHead(const boost::beast::http::fields &fields, unsigned status, std::string_view reason);
 
     GatewayContext &context_;
     ConnectionPtr caller_;
@@ -108,6 +109,7 @@
     bool isCallerGone_ = false;
     bool isRerouting_ = false;
     bool isHeaderSent_ = false;
+    bool isCloseAnnounced_ = false; // the response states that the connection closes after it
     bool hasEvents_ = false;
     bool mustCloseCaller_ = false;
     std::optional<std::uint64_t> lastEventId_;
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -104,7 +104,7 @@
     entry_.reason = status < 500 ? "answered" : "the server answered with an error";
     http::fields fields;
     copyEndToEndFields(response.get(), fields);
-    auto text = headerText(fields, status, response.get().reason(), isCallerKept());
+    auto text = responseHead(fields, status, response.get().reason());
     const bool hasNoBody = request_.method() == http::verb::head || status == 204 || status == 304;
     if (hasNoBody) {
         const auto length = response.get()[http::field::content_length];
@@ -193,7 +193,7 @@
         http::fields fields;
         copyEndToEndFields(response.get(), fields);
         entry_.status = response.get().result_int();
-        text = headerText(fields, entry_.status, response.get().reason(), isCallerKept()) + "Transfer-Encoding: chunked\r\n\r\n";
+        text = responseHead(fields, entry_.status, response.get().reason()) + "Transfer-Encoding: chunked\r\n\r\n";
         isHeaderSent_ = true;
     }
     if (!bytes.empty()) {
