Apply a longer idle timeout to connections that are idle already

Cause: a session took the idle timeout of the configuration at the start of its wait. After a change to a longer one, callers keep connections for longer at once, while the gateway closes them after the earlier time, so that requests meet closing connections. At other times callers stop using a connection well before its timeout, so that this happens beside a change of the configuration only.

Change: at the end of the earlier time the session waits for the rest of the present one.

Before: the test fails (the connection is closed). After: it passes.

--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -88,11 +88,7 @@
 {
     const bool mustNotWait = context_.isDraining && hasServedRequest_;
     if (connection_->buffer().size() == 0 && !mustNotWait) {
-        isIdle_ = true;
-        idleSince_ = context_.now();
-        connection_->limit(limits().idleTimeout);
-        co_await connection_->socket().async_wait(asio::ip::tcp::socket::wait_read, UseResult);
-        connection_->unlimit();
+        co_await waitWhileIdle();
     }
     // Decides by the input, since a request may arrive while the wait ends for another reason.
     if (connection_->buffer().size() == 0 && !connection_->hasInput()) {
@@ -103,6 +99,21 @@
     co_return true;
 }
 
+/// Waits for input, a cancel or the idle timeout. A timeout that a new configuration makes longer also applies to connections that are idle
+/// already, since their callers rely on it at once.
+asio::awaitable<void> GatewaySession::waitWhileIdle()
+{
+    isIdle_ = true;
+    idleSince_ = context_.now();
+    bool isTimedOut = true;
+    while (isTimedOut && context_.now() - idleSince_ < limits().idleTimeout) {
+        connection_->limit(idleSince_ + limits().idleTimeout - context_.now());
+        co_await connection_->socket().async_wait(asio::ip::tcp::socket::wait_read, UseResult);
+        connection_->unlimit();
+        isTimedOut = connection_->isTimedOut();
+    }
+}
+
 asio::awaitable<bool> GatewaySession::readRequest(Parser &parser)
 {
     const auto bounds = limits();
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -39,6 +39,7 @@
     asio::awaitable<void> serveRequests();
     CallerLimits limits() const;
     asio::awaitable<bool> waitForRequest();
+    asio::awaitable<void> waitWhileIdle();
     asio::awaitable<bool> readRequest(Parser &parser);
     asio::awaitable<void> sendErrorResponse(unsigned status, ResultCode code);
     void watchCaller(const std::shared_ptr<ForwardCall> &call);
