Answer a request whose body is malformed

Cause: only a body that was too long or too slow was answered; any other error of the read ended the connection without an answer.

Change: 400, as for a malformed header, unless the caller has closed the connection.

Before: the test fails (no answer). After: it passes.

--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -24,6 +24,12 @@
 /// A caller that does not acknowledge data for this long counts as gone.
 constexpr Duration CallerUserTimeout = seconds(10);
 
+/// Whether @p error of a read means that there is no caller to answer.
+bool isClosedByPeer(const boost::system::error_code &error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message || error.category() == boost::asio::error::get_system_category();
+}
+
 }
 
 GatewaySession::GatewaySession(GatewayContext &context, GatewayServer &server, asio::ip::tcp::socket socket)
@@ -131,10 +137,9 @@
         co_return false;
     }
     if (error) {
-        const bool isClosed = error == http::error::end_of_stream || error.category() == boost::asio::error::get_system_category();
         if (connection_->isTimedOut()) {
             co_await sendErrorResponse(408, ResultCode::RequestTooSlow);
-        } else if (!isClosed) {
+        } else if (!isClosedByPeer(error)) {
             co_await sendErrorResponse(400, ResultCode::MalformedRequest);
         }
         co_return false;
@@ -156,6 +161,8 @@
         co_await sendErrorResponse(413, ResultCode::RequestTooLarge);
     } else if (bodyError && connection_->isTimedOut()) {
         co_await sendErrorResponse(408, ResultCode::RequestTooSlow);
+    } else if (bodyError && !isClosedByPeer(bodyError)) {
+        co_await sendErrorResponse(400, ResultCode::MalformedRequest);
     }
     co_return !bodyError;
 }
