Treat a stream that ends inside an event as interrupted

Cause: a stream was complete when its body was, and a body without a length ends with its connection. The part of an event that was left was sent to the caller, followed by the last chunk.

Change: a stream whose body ends inside an event has failed; it is resumed after the last whole event, or ends visibly incomplete. This also holds for bodies in chunks. A body that ends between events with its connection is complete, as before.

Before: the test fails (a part of an event, marked as complete). After: it passes.

--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -28,6 +28,12 @@
 constexpr double DefaultKeepAliveSeconds = 4;
 constexpr double KeepAliveShare = 0.75;
 
+/// Whether @p text has nothing but line ends, which are no part of an event.
+bool isBlank(std::string_view text)
+{
+    return text.find_first_not_of("\r\n") == std::string_view::npos;
+}
+
 }
 
 asio::awaitable<bool> ForwardCall::readBody(BackendLink &link, Response &response, std::string &body)
@@ -170,11 +176,15 @@
             co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
         }
     }
+    if (!isBlank(splitter.rest())) {
+        // A server that is interrupted inside an event may still close its connection in order.
+        link.connection->close();
+        co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
+    }
     keepOrClose(link, response);
-    const std::string rest(splitter.rest());
     bool isWritten = true;
-    if (!rest.empty() || !isHeaderSent_) {
-        isWritten = co_await writeEvents(rest, response);
+    if (!isHeaderSent_) {
+        isWritten = co_await writeEvents({}, response);
     }
     if (isWritten) {
         isWritten = co_await writeCaller("0\r\n\r\n");
