End a stopped gateway only when no request has arrived

Cause: the control thread ended the process when the count of requests in progress was zero, which the traffic thread publishes every 0.1 s. A request that began in between was cut off after it had been sent to a server; one that was still being read was not counted at all.

Change: the traffic thread decides. It ends its loop, so that nothing more is read, unless a session is busy or has unread bytes.

Test: processDoesNotEndWhileARequestArrives (new interface; the former decision could not be called from a test).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -192,13 +192,16 @@
         if (elapsed >= AcceptAfterStop && !std::exchange(hasStoppedAccepting_, true)) {
             asio::post(context_.io, [this] { server_.stopAccepting(); });
         }
-        if ((hasStoppedAccepting_ && requestsInProgress_.load() == 0 && elapsed >= AcceptAfterStop + 3 * LoadTrackerTick) || elapsed >= limit) {
+        if (elapsed >= limit) {
             if (requestsInProgress_.load() > 0) {
                 logLine(LogLevel::Warning, "drain time is over; requests are cut", {{"requests_in_progress", requestsInProgress_.load()}});
             }
             control_.stop();
             return;
         }
+        if (elapsed >= AcceptAfterStop + 3 * LoadTrackerTick) {
+            stopIfIdle();
+        }
         drainTimer_.expires_after(DrainCheckInterval);
         drainTimer_.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
@@ -207,6 +210,16 @@
         });
     }
 
+    /// Decides on the traffic thread, which alone knows whether a request has just arrived.
+    void stopIfIdle()
+    {
+        asio::post(context_.io, [this] {
+            if (server_.stopIfIdle()) {
+                asio::post(control_, [this] { control_.stop(); });
+            }
+        });
+    }
+
     GatewaySettings settings_;
     std::string settingsPath_;
     SteadyClock clock_;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -117,6 +117,15 @@
     acceptor_.close(ignored);
 }
 
+bool GatewayServer::stopIfIdle()
+{
+    const bool isBusy = std::any_of(sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.first->isBusy(); });
+    if (!isBusy) {
+        context_.io.stop();
+    }
+    return !isBusy;
+}
+
 void GatewayServer::remove(GatewaySession &session)
 {
     sessions_.erase(&session);
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -27,6 +27,11 @@
     {
         return isIdle_;
     }
+    /// Whether a request is in progress, or bytes of one have arrived.
+    bool isBusy()
+    {
+        return !isIdle_ || (connection_->hasInput() && !connection_->isPeerClosed());
+    }
     /// Whether the connection has been used for a request. The first request of a new connection may be on its way.
     bool hasServedRequest() const
     {
--- a/tests/gateway/session_close_test.cpp
+++ b/tests/gateway/session_close_test.cpp
@@ -120,6 +120,29 @@
     EXPECT_EQ(result->status(), 200);
 }
 
+// Guards against the end of the process just after a request has arrived: the count of requests in progress that the stop looked at was up to a
+// tenth of a second old.
+TEST_F(SessionClose, processDoesNotEndWhileARequestArrives)
+{
+    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    start({backend.endpoint()});
+    auto caller = connect();
+    auto idle = connect();
+    std::this_thread::sleep_for(ArrivalTime);
+    bool hasStopped = true;
+    runOnTrafficThread([this, &caller, &hasStopped] {
+        caller.write(request("/r/", "q1"));
+        std::this_thread::sleep_for(ArrivalTime);
+        hasStopped = server_->stopIfIdle();
+    });
+    EXPECT_FALSE(hasStopped);
+    const auto result = caller.read();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->status(), 200);
+    runOnTrafficThread([this, &hasStopped] { hasStopped = server_->stopIfIdle(); });
+    EXPECT_TRUE(hasStopped);
+}
+
 // Guards against a limit of connections that closes the newest one, whose request is about to be read, instead of the one idle for longest.
 TEST_F(SessionClose, limitOfConnectionsClosesTheOneIdleForLongest)
 {
