Answer a request that fails with an exception

Cause: an exception in a request ended its session; the connection was closed without an answer.

Change: 500, which promises nothing, unless part of a response was sent; the line in the log names the request.

Before: the test fails (no answer). After: it passes.

--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -30,6 +30,16 @@
     /// The caller has closed its connection: cancels the request.
     void abandon();
 
+    const std::string &requestId() const
+    {
+        return entry_.id;
+    }
+    /// Whether bytes of a response were sent to the caller.
+    bool hasSentResponse() const
+    {
+        return hasSentResponse_;
+    }
+
     bool hasStarted() const override
     {
         return hasEvents_;
@@ -108,7 +118,8 @@
     bool isRetry_ = false; // the caller retries after a refusal
     bool isCallerGone_ = false;
     bool isRerouting_ = false;
-    bool isHeaderSent_ = false;
+    bool hasSentResponse_ = false;
+    bool isHeaderSent_ = false; // of a stream
     bool isCloseAnnounced_ = false; // the response states that the connection closes after it
     bool hasEvents_ = false;
     bool mustCloseCaller_ = false;
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -218,6 +218,7 @@
 
 asio::awaitable<bool> ForwardCall::writeCaller(std::string bytes)
 {
+    hasSentResponse_ = true;
     caller_->limit(CallerWriteTimeout);
     const auto [error, count] = co_await asio::async_write(caller_->socket(), asio::buffer(bytes), UseResult);
     caller_->unlimit();
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -80,7 +80,7 @@
         }
         const auto call = std::make_shared<ForwardCall>(context_, connection_, parser.release(), receivedAt_);
         watchCaller(call);
-        isKept = co_await call->run();
+        isKept = co_await forward(call);
         if (isWatching_) {
             connection_->socket().cancel(ignored);
         }
@@ -167,6 +167,21 @@
     co_return !bodyError;
 }
 
+/// Runs the call. A caller whose request fails with an exception still gets a response, unless part of one was sent. Returns whether the
+/// connection is kept.
+asio::awaitable<bool> GatewaySession::forward(const std::shared_ptr<ForwardCall> &call)
+{
+    try {
+        co_return co_await call->run();
+    } catch (const std::exception &error) {
+        logLine(LogLevel::Error, "request failed with an unexpected error", {{"request", call->requestId()}, {"error", error.what()}});
+    }
+    if (!call->hasSentResponse()) {
+        co_await sendErrorResponse(500, ResultCode::Internal);
+    }
+    co_return false;
+}
+
 asio::awaitable<void> GatewaySession::sendErrorResponse(unsigned status, ResultCode code)
 {
     logLine(LogLevel::Info, "rejected a request that could not be read", {{"status", status}, {"result", resultCodeName(code)}});
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -46,6 +46,7 @@
     asio::awaitable<bool> waitForRequest();
     asio::awaitable<void> waitWhileIdle();
     asio::awaitable<bool> readRequest(Parser &parser);
+    asio::awaitable<bool> forward(const std::shared_ptr<ForwardCall> &call);
     asio::awaitable<void> sendErrorResponse(unsigned status, ResultCode code);
     void watchCaller(const std::shared_ptr<ForwardCall> &call);
     asio::awaitable<void> discardInput();
--- a/tests/gateway/session_close_test.cpp
+++ b/tests/gateway/session_close_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/gateway/gateway_fixture.h"
 
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 namespace carawaypoint
@@ -143,6 +144,22 @@
     EXPECT_TRUE(hasStopped);
 }
 
+// Guards against a connection that ends without an answer because an error was thrown while its request was processed.
+TEST_F(SessionClose, requestWithAnUnexpectedErrorIsAnswered)
+{
+    names_.serverLoad = "X-Load";
+    names_.parseServerLoad = [](std::string_view) -> std::optional<StatedLoad> { throw std::length_error("unexpected"); };
+    FakeServer backend([](const TestMessage &, TestConnection &connection) {
+        return connection.write(responseText(200, "X-Id: q1\r\nX-Signature: s\r\nX-Load: 1\r\n", "x"));
+    });
+    start({backend.endpoint()});
+    auto caller = connect();
+    caller.write(request("/b/", "q1"));
+    const auto result = caller.read();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->status(), 500);
+}
+
 // Guards against a limit of connections that closes the newest one, whose request is about to be read, instead of the one idle for longest.
 TEST_F(SessionClose, limitOfConnectionsClosesTheOneIdleForLongest)
 {
