Wait for the release of memory in a test

The caller has the last byte before the gateway's thread has gone on after the write, and the check ran in between. The check still requires that all memory is released, and waits for it as other tests do.

--- a/tests/gateway/faulty_backend_test.cpp
+++ b/tests/gateway/faulty_backend_test.cpp
@@ -344,8 +344,11 @@
     }
     EXPECT_GE(whole, 1U);
     EXPECT_LT(whole, 6U);
-    runOnTrafficThread([this, &used] { used = context_->responseMemory.used(); });
-    EXPECT_EQ(used, 0U);
+    // The caller has its response a moment before the gateway has released the memory.
+    EXPECT_TRUE(waitFor([this, &used] {
+        runOnTrafficThread([this, &used] { used = context_->responseMemory.used(); });
+        return used == 0;
+    })) << used;
 }
 
 // Guards against responses with contradictory lengths, of which the rest would become the next response.
