--- /dev/null
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -0,0 +1,117 @@
+// Tests that requests which crash backend servers are recognised and refused, and no others.
+
+#include "tests/gateway/gateway_fixture.h"
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+
+namespace carawaypoint
+{
+
+namespace
+{
+
+constexpr const char *HarmfulPart = "dead";
+constexpr Duration PauseBetweenCrashes = milliseconds(100);
+
+std::string partsField(const std::string &parts)
+{
+    return "X-Parts: " + parts + "\r\n";
+}
+
+}
+
+class CrashQuarantineTest : public GatewayTest
+{
+protected:
+    /// Starts servers that end when a request with the text HarmfulPart in its parts or path reaches them.
+    void startCrashingServers(unsigned count)
+    {
+        for (unsigned number = 0; number < count; ++number) {
+            servers_.push_back(std::make_unique<Server>());
+            auto &server = *servers_.back();
+            server.socket = std::make_unique<FakeServer>([this, &server](const TestMessage &message, TestConnection &connection) {
+                const bool isHarmful = (message.header("x-parts") + message.startLine).find(HarmfulPart) != std::string::npos;
+                if (isHarmful) {
+                    ++crashes_;
+                    server.socket->stopListening();
+                    return false;
+                }
+                const auto id = message.header("x-id");
+                const bool isStream = message.startLine.find("/s/") != std::string::npos;
+                return connection.write(isStream ? eventStream(id, 1, 2, true) : answer(id, "x"));
+            });
+        }
+        std::vector<Endpoint> endpoints;
+        for (const auto &server : servers_) {
+            endpoints.push_back(server->socket->endpoint());
+        }
+        start(endpoints);
+    }
+
+    /// Sends a request on a connection of its own, after a pause: crashes at about the same time count once.
+    TestMessage send(const std::string &path, const std::string &parts)
+    {
+        std::this_thread::sleep_for(PauseBetweenCrashes);
+        auto caller = connect();
+        caller.write(request(path, "q" + std::to_string(++requests_), parts.empty() ? "" : partsField(parts)));
+        return caller.read().value_or(TestMessage());
+    }
+
+    std::atomic<int> crashes_ = 0;
+
+private:
+    struct Server {
+        std::unique_ptr<FakeServer> socket;
+    };
+
+    std::vector<std::unique_ptr<Server>> servers_;
+    int requests_ = 0;
+};
+
+// Guards against requests that crash one server after the other, of which no two are alike: they share one part of their prompts. Sound
+// requests of the same caller and with the same other parts are served.
+TEST_F(CrashQuarantineTest, requestsWithAPartThatCrashesServersAreRefused)
+{
+    startCrashingServers(10);
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_EQ(send("/s/", "a" + std::to_string(number) + ":40,b" + std::to_string(number) + ":9").status(), 200);
+    }
+    TestMessage refusal;
+    for (int number = 0; number < 8; ++number) {
+        refusal = send("/s/", "a" + std::to_string(number % 3) + ":40,dead:8,c" + std::to_string(number) + ":9");
+    }
+    EXPECT_LE(crashes_, 5);
+    EXPECT_EQ(refusal.status(), 503);
+    EXPECT_NE(refusal.body.find("prompt_quarantined"), std::string::npos);
+    EXPECT_GT(std::stod(refusal.header("retry-after")), 500);
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_EQ(send("/s/", "a" + std::to_string(number) + ":40,d:9").status(), 200);
+    }
+}
+
+// Guards against a second crash by the same request once such requests are known to lose their servers.
+TEST_F(CrashQuarantineTest, suspectRequestIsNotSentToASecondServer)
+{
+    startCrashingServers(6);
+    EXPECT_EQ(send("/s/", "a1:40,dead:8,c1:9").status(), 502);
+    EXPECT_EQ(crashes_, 2);
+    EXPECT_EQ(send("/s/", "a2:40,dead:8,c2:9").status(), 502);
+    EXPECT_EQ(crashes_, 3);
+}
+
+// Guards against requests without parts that crash servers and come again unchanged.
+TEST_F(CrashQuarantineTest, repeatedRequestThatCrashesServersIsRefused)
+{
+    startCrashingServers(10);
+    int status = 0;
+    for (int number = 0; number < 8; ++number) {
+        status = send("/r/dead", "").status();
+    }
+    EXPECT_EQ(status, 503);
+    EXPECT_LE(crashes_, 5);
+    EXPECT_EQ(send("/r/other", "").status(), 200);
+}
+
+}
--- a/tests/support/test_sockets.cpp
+++ b/tests/support/test_sockets.cpp
@@ -180,9 +180,16 @@
     acceptor_ = std::thread([this] { accept(); });
 }
 
+void FakeServer::stopListening()
+{
+    if (isListening_.exchange(false)) {
+        ::shutdown(listener_, SHUT_RDWR);
+    }
+}
+
 FakeServer::~FakeServer()
 {
-    ::shutdown(listener_, SHUT_RDWR);
+    stopListening();
     acceptor_.join();
     ::close(listener_);
     {
--- a/tests/support/test_sockets.h
+++ b/tests/support/test_sockets.h
@@ -63,6 +63,8 @@
     {
         return endpoint_;
     }
+    /// Refuses further connections, as a server that has ended does.
+    void stopListening();
     int connections() const
     {
         return connections_;
@@ -74,6 +76,7 @@
 
     Handler handler_;
     Endpoint endpoint_;
+    std::atomic<bool> isListening_ = true;
     int listener_;
     std::atomic<int> connections_ = 0;
     std::mutex mutex_;
