Refuse requests that crash servers, by the evidence of all gateways

Cause: a gateway took each end of a server for the failure of that server. It sent the request to a second one, its caller repeated it, and nothing remembered which requests had been there: each request with the harmful part crashed up to four servers, and sound requests found no replica.

Change: when a connection to a server ends before an answer, a new connection tells whether the server was lost. If so, the parts of the request's prompt (without any, its fingerprint) are recorded as evidence; an answer to any request with the part disproves it. Load reports carry the evidence, through relays in large fleets. Requests with a part that is found to crash servers get 503 prompt_quarantined at once with the rest of the quarantine as Retry-After, and a request whose part has crashed another server before gets no second try. Log lines for each piece of evidence and each change of what is refused; counters; setting serving.quarantine_time, read again on SIGHUP.

--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -74,6 +74,12 @@
      .high = 3600,
      .defaultText = "10s",
      .description = "Length of the window for retry_share and retry_slack."},
+    {.key = "quarantine_time",
+     .kind = ValueKind::Time,
+     .low = 0,
+     .high = 86400,
+     .defaultText = "10min",
+     .description = "Time for which requests that crash backend servers are refused after the last crash. 0s turns the quarantine off. Read again on SIGHUP."},
 };
 constexpr KeySchema LogKeys[] = {
     {.key = "level",
@@ -118,6 +124,7 @@
     settings.retryShare = values.at("serving", "retry_share").number;
     settings.retrySlack = values.at("serving", "retry_slack").number;
     settings.retryWindow = values.at("serving", "retry_window").time;
+    settings.quarantineTime = values.at("serving", "quarantine_time").time;
     settings.logLevel = values.at("log", "level").canonicalText;
     return result;
 }
--- a/src/config/gateway_settings.h
+++ b/src/config/gateway_settings.h
@@ -28,6 +28,7 @@
     double retryShare = 0; // retries for each request, within retryWindow
     double retrySlack = 0; // retries beyond that share, of all daemons within retryWindow
     Duration retryWindow{};
+    Duration quarantineTime{minutes(10)}; // for which requests are refused after they crashed servers; zero turns the quarantine off
     double memoryMb = 256; // megabytes of memory that the process may use
     unsigned linkMbps = 0; // bandwidth of the VM's network link
     unsigned maxDescriptors = 0; // file descriptors that the process may open
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -45,6 +45,8 @@
     ResultCodeInfo{ResultCode::RequestQuarantined, "request_quarantined", 422, Unknown, "do not re-send; the request crashed backend servers"},
     ResultCodeInfo{ResultCode::RetryBudgetExhausted, "retry_budget_exhausted", 503, Unknown, RetryLater},
     ResultCodeInfo{ResultCode::NoServerAvailable, "no_server_available", 503, NotRun, RetryLater},
+    ResultCodeInfo{ResultCode::PromptQuarantined, "prompt_quarantined", 503, NotRun,
+                   "send requests without this part of the prompt, or retry after the time in Retry-After"},
     ResultCodeInfo{ResultCode::KeyRequired, "key_required", 400, NotRun, "send an Idempotency-Key (UUID version 7)"},
     ResultCodeInfo{ResultCode::KeyInvalid, "key_invalid", 400, NotRun, "send an Idempotency-Key that is a UUID version 7 of the present time"},
     ResultCodeInfo{ResultCode::KeyExpired, "key_expired", 409, Unknown, "look the outcome up in the application; the key is too old to re-send"},
--- a/src/core/result_code.h
+++ b/src/core/result_code.h
@@ -45,6 +45,7 @@
     RequestQuarantined = 406,
     RetryBudgetExhausted = 407,
     NoServerAvailable = 408,
+    PromptQuarantined = 409,
 
     KeyRequired = 500,
     KeyInvalid = 501,
--- a/src/gateway/backend_connection_pool.cpp
+++ b/src/gateway/backend_connection_pool.cpp
@@ -50,6 +50,15 @@
     if (link.isReused) {
         co_return std::error_code{};
     }
+    co_return co_await connect(target, timeout, link);
+}
+
+asio::awaitable<std::error_code> BackendConnectionPool::connect(const ServingTarget &target, Duration timeout, BackendLink &link)
+{
+    link.server = target.server;
+    link.serverStartedAt = target.startedAt;
+    link.connection = nullptr;
+    link.isReused = false;
     boost::system::error_code error;
     const auto address = asio::ip::make_address(target.address.address, error);
     if (error) {
--- a/src/gateway/backend_connection_pool.h
+++ b/src/gateway/backend_connection_pool.h
@@ -30,6 +30,8 @@
 
     /// Provides a pooled or a new connection in @p link. On an error link.connection is null and nothing was sent.
     asio::awaitable<std::error_code> acquire(const ServingTarget &target, Duration timeout, BackendLink &link);
+    /// As acquire(), always with a new connection.
+    asio::awaitable<std::error_code> connect(const ServingTarget &target, Duration timeout, BackendLink &link);
     /// Returns a connection to the pool, where it is usable for @p keepAlive.
     void release(BackendLink link, Duration keepAlive);
     /// Servers to which an idle connection can be used.
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -20,6 +20,10 @@
 
 /// A reachable server accepts within milliseconds, an unreachable one not at all.
 constexpr Duration ConnectTimeout = milliseconds(350);
+/// A server that has just ended refuses connections at once; one that does not answer for this long counts as lost too.
+constexpr Duration LostServerTimeout = milliseconds(150);
+/// Time for which the connection is kept that has shown that a server lives. Servers keep idle connections for seconds.
+constexpr Duration ProbeKeepAlive = seconds(1);
 /// Added to the deadline that the server was given, so that its own timeout response can arrive.
 constexpr Duration ResponseMargin = milliseconds(200);
 /// Share of the remaining time after which an idempotent request without a response is sent to another server.
@@ -66,6 +70,9 @@
     entry_.attempts = sentAttempts_ + 1;
     excluded_.push_back(target.server);
     isRerouting_ = false;
+    hasAnswer_ = false;
+    hasLostConnection_ = false;
+    lostServer_ = 0;
     ReroutableCall *stream = route_->kind == CallKind::Stream ? this : nullptr;
     pendingPrefillTokens_ = stream == nullptr ? 0 : promptTokens();
     const auto attemptStartedAt = context_.now();
@@ -78,6 +85,9 @@
         mayHaveRun_ = true;
         if (!isCallerGone_ && !isRerouting_) {
             context_.loadTracker.recordFailure(target.server, context_.now());
+            if (!hasAnswer_ && hasLostConnection_) {
+                co_await checkLostServer(target);
+            }
         }
     } else if (end == AttemptEnd::Answered) {
         context_.loadTracker.recordSuccess(target.server);
@@ -100,10 +110,32 @@
     }
     activeLink_ = link;
     const auto end = co_await exchange(link, target);
+    hasLostConnection_ = hasLostConnection_ && !link.connection->isTimedOut();
     activeLink_.reset();
     co_return end;
 }
 
+/// A connection that fails before an answer may be that of a server which the request has crashed. A server that accepts another connection
+/// was not lost.
+asio::awaitable<void> ForwardCall::checkLostServer(const ServingTarget &target)
+{
+    BackendLink link;
+    const auto error = co_await context_.pool.connect(target, std::min(LostServerTimeout, remaining()), link);
+    if (!error) {
+        context_.pool.release(link, ProbeKeepAlive);
+        co_return;
+    }
+    context_.pool.closeIdle(target.server);
+    lostServer_ = context_.quarantine.recordLostServer(target.server, target.startedAt, entry_.id, traits_, context_.now());
+}
+
+void ForwardCall::recordAnswer()
+{
+    if (!std::exchange(hasAnswer_, true)) {
+        context_.quarantine.recordAnswer(traits_, context_.now());
+    }
+}
+
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::exchange(BackendLink &link, ServingTarget target)
 {
     ++sentAttempts_;
@@ -153,6 +185,7 @@
     if (route_->kind == CallKind::Stream && isSuccess) {
         co_return co_await relayStream(link, *response);
     }
+    recordAnswer();
     co_return co_await relayCompleteResponse(link, *response);
 }
 
@@ -196,6 +229,7 @@
         message.content_length(request_.body().size());
     }
     const auto [error, bytes] = co_await http::async_write(link.connection->socket(), message, UseResult);
+    hasLostConnection_ = static_cast<bool>(error);
     co_return !error;
 }
 
@@ -209,6 +243,7 @@
         response->skip(request_.method() == http::verb::head);
         const auto [error, bytes] = co_await http::async_read_header(link.connection->socket(), link.connection->buffer(), *response, UseResult);
         const auto status = response->get().result_int();
+        hasLostConnection_ = isConnectionLost(error);
         if (error || status == SwitchingProtocols) {
             co_return false;
         }
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -128,6 +128,7 @@
     model_ = ModelId(std::string(request_[context_.names.model]));
     entry_.model = model_.str();
     service_ = pickService();
+    traits_ = requestTraits(context_.names, request_, serverPool(), customer_);
     context_.retryBudget.addRequest(service_, context_.now());
     if (const auto last = parseNumber(request_["Last-Event-Id"])) {
         lastEventId_ = *last;
@@ -244,6 +245,9 @@
                 failWith(mayHaveRun_ ? ResultCode::BackendTimeout : ResultCode::DeadlinePassed, "the deadline has passed");
                 break;
             }
+            if (isQuarantined()) {
+                break;
+            }
             const auto *target = chooseTarget();
             if (target == nullptr) {
                 break;
@@ -272,6 +276,20 @@
     co_return isKept;
 }
 
+/// Whether the request is refused because it would crash its server; the failure is set then, unless an attempt has set it.
+bool ForwardCall::isQuarantined()
+{
+    const auto left = context_.quarantine.timeLeft(traits_, context_.now());
+    if (left <= Duration{}) {
+        return false;
+    }
+    if (sentAttempts_ == 0) {
+        failWith(ResultCode::PromptQuarantined, "requests with this part of the prompt crash servers");
+        retryAfter_ = left;
+    }
+    return true;
+}
+
 /// Whether the request may be sent again; otherwise the failure is set.
 bool ForwardCall::mayRetry(AttemptEnd end)
 {
@@ -297,6 +315,10 @@
     } else {
         failWith(ResultCode::ReplicaLost, isRerouting_ ? "the server is stalled" : "the server failed");
     }
+    if (lostServer_ != 0 && context_.quarantine.isSuspect(traits_, lostServer_)) {
+        failWith(ResultCode::ReplicaLost, "servers were lost with such requests, so it is not sent to another one");
+        return false;
+    }
     if (!mayRunAgain || sentAttempts_ >= route_->maxAttempts || isCallerGone_) {
         return false;
     }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -3,6 +3,7 @@
 #include "gateway/backend_load_tracker.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_context.h"
+#include "gateway/request_traits.h"
 
 #include <boost/beast/http.hpp>
 
@@ -79,6 +80,8 @@
     asio::awaitable<AttemptEnd> relayStream(BackendLink &link, Response &response);
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
     asio::awaitable<bool> writeCaller(std::string bytes);
+    void recordAnswer();
+    asio::awaitable<void> checkLostServer(const ServingTarget &target);
     void keepOrClose(BackendLink &link, Response &response);
     /// Complete events of a stream.
     struct EventBatch {
@@ -87,6 +90,7 @@
     };
     EventBatch collectEvents(EventSplitter &splitter);
 
+    bool isQuarantined();
     bool mayRetry(AttemptEnd end);
     void failWith(ResultCode code, std::string_view reason);
     asio::awaitable<bool> sendFailureResponse();
@@ -108,6 +112,10 @@
     ServiceId service_;
     ModelId model_;
 
+    std::vector<TraitId> traits_; // to which crashes of servers are attributed
+    CrashId lostServer_ = 0; // lost in the latest attempt before it answered; 0 when none was
+    bool hasAnswer_ = false; // the server of the latest attempt has begun to answer
+    bool hasLostConnection_ = false; // the connection of the latest attempt ended by itself
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
     MemoryBudget::Reservation buffered_; // response bytes that wait for more
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -152,6 +152,9 @@
         if (count > 0) {
             splitter.feed({space.data(), count});
             const auto batch = collectEvents(splitter);
+            if (batch.hasData) {
+                recordAnswer();
+            }
             bytesSinceProgress += count;
             if (batch.hasData || bytesSinceProgress >= EventGrowthBytes) {
                 bytesSinceProgress = 0;
@@ -172,6 +175,7 @@
             }
         }
         if (error && error != http::error::need_buffer) {
+            hasLostConnection_ = isConnectionLost(error);
             link.connection->close();
             co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
         }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include "gateway/backend_connection_pool.h"
 #include "gateway/backend_load_tracker.h"
 #include "gateway/count_age.h"
+#include "gateway/crash_quarantine.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/fleet_retry_budget.h"
 #include "gateway/memory_budget.h"
@@ -29,6 +30,7 @@
         : settings(std::move(processSettings))
         , names(wireNames)
         , responseMemory(static_cast<std::size_t>(settings.memoryMb * ResponseMemoryShare * 1024 * 1024))
+        , quarantine(settings.quarantineTime)
         , retryBudget({settings.retryShare, settings.retrySlack, settings.retryWindow})
     {
     }
@@ -47,6 +49,7 @@
     FleetDemand demand;
     CountAge countAge; // of other gateways' requests
     MemoryBudget responseMemory;
+    CrashQuarantine quarantine;
     FleetRetryBudget retryBudget;
     RequestLog log;
     RetryDetector retryDetector;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_daemon.h"
 
 #include "core/signal_hold.h"
+#include "core/time_units.h"
 #include "gateway/fleet_control.h"
 #include "gateway/gateway_server.h"
 #include "gateway/load_exchange.h"
@@ -131,6 +132,7 @@
         }
         if (count % IdleCheckTicks == 0) {
             context_.pool.closeExpired();
+            context_.quarantine.expire(now);
         }
         if (exchange_.hasSeenTraffic() && !std::exchange(hasReportedTraffic_, true)) {
             asio::post(control_, [this] { fleet_.recordTraffic(); });
@@ -159,7 +161,7 @@
         });
     }
 
-    /// Applies only the log level; the other settings are validated and take effect at the next start.
+    /// Applies the log level and the quarantine time; the other settings are validated and take effect at the next start.
     void reload()
     {
         const auto result = loadGatewaySettings(settingsPath_);
@@ -168,7 +170,9 @@
         }
         if (result.errors.empty()) {
             setLogLevel(parseLogLevel(result.settings.logLevel));
-            logLine(LogLevel::Info, "settings reloaded", {{"log_level", result.settings.logLevel}});
+            asio::post(context_.io, [this, time = result.settings.quarantineTime] { context_.quarantine.setTime(time, context_.now()); });
+            logLine(LogLevel::Info, "settings reloaded",
+                    {{"log_level", result.settings.logLevel}, {"quarantine_time_ms", inMilliseconds(result.settings.quarantineTime)}});
         }
     }
 
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -88,6 +88,7 @@
     }
     latest = {report.process, report.sequence};
     hasSeenTraffic_ = hasSeenTraffic_ || report.requestsStarted > 0;
+    context_.quarantine.merge(report.gateway, report.crashEvidence, context_.now());
     if (!report.zone.isEmpty()) {
         applySum(std::move(report));
         return;
@@ -152,12 +153,13 @@
     return result;
 }
 
-GatewayLoadReport LoadExchange::ownReport() const
+GatewayLoadReport LoadExchange::ownReport()
 {
     GatewayLoadReport own;
     own.loads = context_.loadTracker.ownLoads();
     own.requestsStarted = context_.requestsStarted;
     own.unmet = context_.demand.unmetLoads(context_.now());
+    own.crashEvidence = context_.quarantine.evidenceForReport(context_.now());
     return own;
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -46,7 +46,7 @@
     asio::awaitable<void> sendReports();
     void applyReport(GatewayLoadReport report);
     void applySum(GatewayLoadReport report);
-    GatewayLoadReport ownReport() const;
+    GatewayLoadReport ownReport();
     /// At a relay: sends the sum of its zone to the other zones, and the sum of all zones to its own.
     void sendSums(GatewayLoadReport own);
     void send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers);
--- a/src/gateway/load_report.capnp
+++ b/src/gateway/load_report.capnp
@@ -20,6 +20,17 @@
     requests @2 :Float32; # that would be in progress if they had not been rejected for lack of capacity
 }
 
+struct TraitCrash {
+    id @0 :UInt64; # of the crash; the same at all gateways
+    ageMs @1 :UInt32;
+    isDisproved @2 :Bool; # a server has answered a request with the trait since
+}
+
+struct TraitEvidence {
+    trait @0 :UInt64; # of requests that were lost with their servers
+    crashes @1 :List(TraitCrash);
+}
+
 struct LoadReport {
     gateway @0 :Text;
     process @1 :UInt64; # incarnation of the process
@@ -30,4 +41,5 @@
     unmet @6 :List(UnmetLoad);
     isFleetSum @7 :Bool; # the gateways of all zones are summed up
     countAgeMs @8 :UInt32; # in sums: mean age of the counts when the sum was sent
+    crashEvidence @9 :List(TraitEvidence); # of the sender, with what it has received; only what changed recently, and from time to time all
 }
--- a/src/gateway/load_report.capnp.h
+++ b/src/gateway/load_report.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(de6952d1b4451645);
 CAPNP_DECLARE_SCHEMA(c2e5d08dc553c091);
+CAPNP_DECLARE_SCHEMA(a2b5a1a27a82895b);
+CAPNP_DECLARE_SCHEMA(ee41a672d467a84c);
 CAPNP_DECLARE_SCHEMA(fc1da4c1689683b4);
 
 }  // namespace schemas
@@ -56,6 +58,36 @@
   };
 };
 
+struct TraitCrash {
+  TraitCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2b5a1a27a82895b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TraitEvidence {
+  TraitEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ee41a672d467a84c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadReport {
   LoadReport() = delete;
 
@@ -64,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -270,6 +302,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class TraitCrash::Reader {
+public:
+  typedef TraitCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getIsDisproved() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TraitCrash::Builder {
+public:
+  typedef TraitCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getIsDisproved();
+  inline void setIsDisproved(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TraitCrash::Pipeline {
+public:
+  typedef TraitCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TraitEvidence::Reader {
+public:
+  typedef TraitEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTrait() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TraitEvidence::Builder {
+public:
+  typedef TraitEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTrait();
+  inline void setTrait( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TraitEvidence::Pipeline {
+public:
+  typedef TraitEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadReport::Reader {
 public:
   typedef LoadReport Reads;
@@ -309,6 +513,9 @@
 
   inline  ::uint32_t getCountAgeMs() const;
 
+  inline bool hasCrashEvidence() const;
+  inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Reader getCrashEvidence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -380,6 +587,13 @@
   inline  ::uint32_t getCountAgeMs();
   inline void setCountAgeMs( ::uint32_t value);
 
+  inline bool hasCrashEvidence();
+  inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Builder getCrashEvidence();
+  inline void setCrashEvidence( ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Builder initCrashEvidence(unsigned int size);
+  inline void adoptCrashEvidence(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>> disownCrashEvidence();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -580,6 +794,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TraitCrash::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TraitCrash::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TraitCrash::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TraitCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TraitCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TraitCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TraitCrash::Reader::getIsDisproved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool TraitCrash::Builder::getIsDisproved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void TraitCrash::Builder::setIsDisproved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TraitEvidence::Reader::getTrait() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TraitEvidence::Builder::getTrait() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TraitEvidence::Builder::setTrait( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TraitEvidence::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TraitEvidence::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Reader TraitEvidence::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Builder TraitEvidence::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TraitEvidence::Builder::setCrashes( ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>::Builder TraitEvidence::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TraitEvidence::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>> TraitEvidence::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool LoadReport::Reader::hasGateway() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -786,6 +1090,40 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadReport::Reader::hasCrashEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasCrashEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getCrashEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getCrashEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setCrashEvidence( ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initCrashEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptCrashEvidence(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownCrashEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -20,6 +20,42 @@
 constexpr double MaxUnmetRequests = 1e6;
 /// Older counts are not used at all; a report with more is malformed.
 constexpr Duration MaxCountAge = seconds(2);
+/// Traits in one report; those with most crashes are sent.
+constexpr std::size_t MaxTraits = 24;
+constexpr std::size_t MaxCrashes = 16; // of one trait
+
+void encodeEvidence(std::span<const TraitEvidence> evidence, wire::LoadReport::Builder root)
+{
+    auto traits = root.initCrashEvidence(static_cast<unsigned>(std::min(evidence.size(), MaxTraits)));
+    for (unsigned i = 0; i < traits.size(); ++i) {
+        const auto &source = evidence[i];
+        traits[i].setTrait(source.trait);
+        auto crashes = traits[i].initCrashes(static_cast<unsigned>(std::min(source.crashes.size(), MaxCrashes)));
+        for (unsigned j = 0; j < crashes.size(); ++j) {
+            crashes[j].setId(source.crashes[j].id);
+            crashes[j].setAgeMs(static_cast<std::uint32_t>(inMilliseconds(source.crashes[j].age)));
+            crashes[j].setIsDisproved(source.crashes[j].isDisproved);
+        }
+    }
+}
+
+std::vector<TraitEvidence> decodeEvidence(wire::LoadReport::Reader root)
+{
+    std::vector<TraitEvidence> evidence;
+    for (const auto trait : root.getCrashEvidence()) {
+        if (evidence.size() == MaxTraits) {
+            break;
+        }
+        auto &target = evidence.emplace_back(TraitEvidence{trait.getTrait(), {}});
+        for (const auto crash : trait.getCrashes()) {
+            if (target.crashes.size() < MaxCrashes) {
+                target.crashes.push_back({crash.getId(), milliseconds(crash.getAgeMs()), crash.getIsDisproved()});
+            }
+        }
+    }
+    return evidence;
+}
+
 }
 
 std::vector<std::byte> encodeReport(const GatewayLoadReport &report)
@@ -39,6 +75,7 @@
         unmet[i].setModel(report.unmet[i].pool.second.str());
         unmet[i].setRequests(static_cast<float>(report.unmet[i].requests));
     }
+    encodeEvidence(report.crashEvidence, root);
     auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
         loads[i].setServer(report.loads[i].server.str());
@@ -70,6 +107,7 @@
                 report.unmet.push_back({{ServiceId(unmet.getService().cStr()), ModelId(unmet.getModel().cStr())}, requests});
             }
         }
+        report.crashEvidence = decodeEvidence(root);
         for (const auto load : root.getLoads()) {
             report.loads.push_back({VmId(load.getServer().cStr()), load.getRequests(), load.getUnreadTokens(), load.getIsStalled(), load.getIsProgressing()});
         }
--- a/src/gateway/load_report_codec.h
+++ b/src/gateway/load_report_codec.h
@@ -3,6 +3,7 @@
 #include "fleet/model_demand.h"
 #include "gateway/backend_load_tracker.h"
 #include "gateway/fleet_demand.h"
+#include "routing/crash_attribution.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
     std::vector<UnmetLoad> unmet{}; // only pools that rejected requests recently
     bool isFleetSum = false; // sums up all zones; zone is that of the sender
     Duration countAge{}; // in sums: mean age of the counts when the sum was sent
+    std::vector<TraitEvidence> crashEvidence{}; // of the sender, with what it has received
 };
 
 /// Maximum size of a datagram; sufficient for the sums of some thousand replicas.
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace carawaypoint
 {
@@ -28,6 +29,8 @@
     std::string priority; // header to backend servers: 0 to 9, smaller ones are taken from the server's queue first; empty when there is none
     std::string serverLoad; // response header: load of the backend server; empty when the platform has none
     std::optional<StatedLoad> (*parseServerLoad)(std::string_view text) = nullptr; // empty result when the value is malformed
+    std::string promptParts; // header: parts of the prompt; empty when the platform has none
+    std::vector<std::uint64_t> (*parsePromptParts)(std::string_view text) = nullptr; // identifiers of the parts, without malformed ones
     std::string keyScheme; // scheme of the Authorization header
     std::string readinessPath;
 };
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -34,6 +34,7 @@
     {"carawaypoint_peer_bytes_total", "direction", "Bytes of the inner protocol"},
     {"carawaypoint_engine_orders_total", "code", "Orders to engines by result code"},
     {"carawaypoint_ignored_server_loads_total", "reason", "Loads stated by backend servers that were not used"},
+    {"carawaypoint_crash_evidence_total", "source", "Requests lost with their servers before an answer, and reports of other daemons about such"},
 };
 // In the order of GaugeMetric.
 constexpr MetricInfo GaugeInfos[] = {
@@ -47,6 +48,7 @@
     {"carawaypoint_dropped_log_lines", "", "Log lines dropped by a full queue"},
     {"carawaypoint_model_requests", "model", "Requests in progress at the model's replicas, of all daemons; at the holder of the lease"},
     {"carawaypoint_model_unmet_requests", "model", "Requests that would also be in progress if none had been rejected; at the holder of the lease"},
+    {"carawaypoint_quarantined_traits", "", "Parts of prompts, or sets of them, whose requests are refused since they crash backend servers"},
 };
 // In the order of HistogramMetric.
 constexpr MetricInfo HistogramInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -28,6 +28,7 @@
     PeerBytes, // direction: in, out
     EngineOrders, // code: name of the result code
     IgnoredServerLoads, // reason: malformed
+    CrashEvidence, // source: own, peer
 };
 
 /// Gauges. The comment names the label and, after a colon, its values.
@@ -42,6 +43,7 @@
     DroppedLogLines, // no label
     ModelRequests, // model
     ModelUnmetRequests, // model
+    QuarantinedTraits, // no label
 };
 
 /// Histograms in seconds. The comment names the label and, after a colon, its values.
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -13,7 +13,17 @@
 {
 
 constexpr const char *HarmfulPart = "dead";
-constexpr Duration PauseBetweenCrashes = milliseconds(100);
+
+std::vector<std::uint64_t> hashParts(std::string_view text)
+{
+    std::vector<std::uint64_t> parts;
+    while (!text.empty()) {
+        const auto entry = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(text.size(), entry.size() + 1));
+        parts.push_back(std::hash<std::string_view>()(entry.substr(0, entry.find(':'))));
+    }
+    return parts;
+}
 
 std::string partsField(const std::string &parts)
 {
@@ -25,6 +35,12 @@
 class CrashQuarantineTest : public GatewayTest
 {
 protected:
+    CrashQuarantineTest()
+    {
+        names_.promptParts = "X-Parts";
+        names_.parsePromptParts = hashParts;
+    }
+
     /// Starts servers that end when a request with the text HarmfulPart in its parts or path reaches them.
     void startCrashingServers(unsigned count)
     {
@@ -53,7 +69,7 @@
     /// Sends a request on a connection of its own, after a pause: crashes at about the same time count once.
     TestMessage send(const std::string &path, const std::string &parts)
     {
-        std::this_thread::sleep_for(PauseBetweenCrashes);
+        std::this_thread::sleep_for(CrashAttributionSettings().burstTime);
         auto caller = connect();
         caller.write(request(path, "q" + std::to_string(++requests_), parts.empty() ? "" : partsField(parts)));
         return caller.read().value_or(TestMessage());
@@ -114,4 +130,47 @@
     EXPECT_EQ(send("/r/other", "").status(), 200);
 }
 
+// Guards against blaming a request for a connection that a living server has reset.
+TEST_F(CrashQuarantineTest, resetConnectionOfALivingServerIsNoCrash)
+{
+    FakeServer backend([](const TestMessage &, TestConnection &) { return false; });
+    start({backend.endpoint(), backend.endpoint()});
+    for (int number = 0; number < 8; ++number) {
+        EXPECT_EQ(send("/s/", "a:40,b:8,c:9").status(), 502);
+    }
+    std::vector<TraitEvidence> evidence;
+    runOnTrafficThread([this, &evidence] {
+        for (int report = 0; report < 20; ++report) {
+            const auto part = context_->quarantine.evidenceForReport(context_->now());
+            evidence.insert(evidence.end(), part.begin(), part.end());
+        }
+    });
+    EXPECT_TRUE(evidence.empty());
+}
+
+// Guards against a gateway that admits what the others refuse: no two of the requests come to the same gateway.
+TEST_F(CrashQuarantineTest, evidenceOfOtherGatewaysIsUsed)
+{
+    startCrashingServers(4);
+    CrashQuarantine peer(minutes(10));
+    const std::vector<TraitId> traits = requestTraits(names_,
+                                                      {boost::beast::http::verb::post, "/s/", 11, "",
+                                                       [] {
+                                                           boost::beast::http::fields fields;
+                                                           fields.set("X-Parts", "dead:8");
+                                                           return fields;
+                                                       }()},
+                                                      {ServiceId("drafting"), ModelId("m")}, CustomerId("customer-1"));
+    for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+        peer.recordLostServer(VmId("other"), crash, "q", traits, context_->now() - seconds(5 - crash));
+    }
+    runOnTrafficThread([&] { context_->quarantine.merge(MemberId("peer"), peer.evidenceForReport(context_->now()), context_->now()); });
+    const auto refusal = send("/s/", "a1:40,dead:8,c1:9");
+    EXPECT_EQ(refusal.status(), 503);
+    EXPECT_EQ(crashes_, 0);
+    // The operator's setting ends it.
+    runOnTrafficThread([this] { context_->quarantine.setTime(Duration{}, context_->now()); });
+    EXPECT_EQ(send("/s/", "a1:40,dead:8,c1:9").status(), 502);
+}
+
 }
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -427,6 +427,24 @@
     EXPECT_EQ(decoded->unmet.front().requests, 2.5);
 }
 
+// Guards against evidence of crashes that is lost between gateways, and against reports that grow with invented traits.
+TEST(LoadReportCodec, encodesBoundedCrashEvidence)
+{
+    GatewayLoadReport report{MemberId("g"), 5, 6, {}, 9};
+    for (TraitId trait = 1; trait <= 100; ++trait) {
+        report.crashEvidence.push_back({trait, std::vector<TraitCrash>(40, {trait + 7, milliseconds(1500), trait == 1})});
+    }
+    const auto bytes = encodeReport(report);
+    EXPECT_LT(bytes.size(), 4000U);
+    const auto decoded = decodeReport(bytes);
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->crashEvidence.size(), 24U);
+    ASSERT_EQ(decoded->crashEvidence.front().crashes.size(), 16U);
+    EXPECT_EQ(decoded->crashEvidence.front().trait, 1U);
+    EXPECT_EQ(decoded->crashEvidence.front().crashes.front(), (TraitCrash{8, milliseconds(1500), true}));
+    EXPECT_FALSE(decoded->crashEvidence.back().crashes.front().isDisproved);
+}
+
 // Guards against a crash on a datagram that is not a load report.
 TEST(LoadReportCodec, rejectsInvalidBytes)
 {
--- a/tests/gateway/unexpected_error_test.cpp
+++ b/tests/gateway/unexpected_error_test.cpp
@@ -111,6 +111,7 @@
         report.loads.push_back({VmId("server-" + std::to_string(number)), number, number * 100});
     }
     report.unmet.push_back({{ServiceId("drafting"), ModelId("m")}, 3.5});
+    report.crashEvidence.push_back({7, {{8, milliseconds(100), false}, {9, milliseconds(50), true}}});
     const auto reportBytes = encodeReport(report);
     const auto noticeBytes = encodeNotice(sampleNotice()).front();
     const auto requestBytes = encodeRequest({5, 6});
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -136,6 +136,21 @@
     }
 }
 
+// Guards against parts of a prompt that are not recognised in another request, and against memory that grows with their number.
+TEST(PromptParts, areParsedWithoutMalformedOnes)
+{
+    EXPECT_EQ(parsePromptParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), (std::vector<std::uint64_t>{0x5c1e07a2, 0x91bd3f06, 0xe4402b7d}));
+    EXPECT_EQ(parsePromptParts("5C1E07A2"), std::vector<std::uint64_t>{0x5c1e07a2});
+    EXPECT_EQ(parsePromptParts("x1:4,,:,1g:2,-1:3,7:"), std::vector<std::uint64_t>{7});
+    EXPECT_EQ(parsePromptParts("11112222333344445:1,2"), std::vector<std::uint64_t>{2});
+    EXPECT_TRUE(parsePromptParts("").empty());
+    std::string many;
+    for (int number = 0; number < 1000; ++number) {
+        many += "a:1,";
+    }
+    EXPECT_EQ(parsePromptParts(many).size(), 64U);
+}
+
 TEST(OrderCodec, encodesEachOperation)
 {
     EXPECT_EQ(encodeOrder({OrderKind::Join, VmId("a"), {}, ReplicaId("g"), 12, ModelId("m"), {VmId("a"), VmId("b")}, 3}),
