Respect that a server leaves or defers requests, as it states in its responses

Cause: nothing read Server-Leaving, nor the Retry-After of a server's 503, so that a gateway sent requests on to a server that had said in an answer that it leaves, until its registration said so (with the store away: without end), and again and again to a server that had asked for none.

Change: the adapter names the fields; statements are kept for the process that made them. A server that leaves gets no further request, and its connections are closed after their request. A server that defers gets none until its time is over; that is no failure of the server. When all servers of a pool defer, a request is refused at once with the time after which the first accepts, spread by the usual jitter. Zero, negative, malformed and very long times are ignored, counted, or bounded by five minutes.

Tests: ServerStatements.*, ServerStatementsTest.* (new interface).

--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -160,6 +160,7 @@
     }
     const auto &header = response->get();
     recordStatedLoad(header, target.server);
+    recordStatements(header, target);
     const bool isNotRun = header.result_int() == MisdirectedRequest || header.find(context_.names.notExecuted) != header.end();
     if (isNotRun) {
         // The body says nothing more, and another server can have the request meanwhile.
@@ -204,6 +205,31 @@
     }
 }
 
+/// Uses what the server states of itself, if anything. A server at a reused address that refuses requests for another one speaks for itself.
+void ForwardCall::recordStatements(const Response::value_type &header, const ServingTarget &target)
+{
+    if (header.result_int() == MisdirectedRequest) {
+        return;
+    }
+    auto &statements = context_.serverStatements;
+    const auto now = context_.now();
+    if (const auto leaving = header.find(context_.names.serverLeaving); leaving != header.end() && leaving->value() == "1") {
+        statements.recordLeaving(target, entry_.id, now);
+        context_.pool.closeIdle(target.server);
+    } else if (leaving != header.end()) {
+        metricsRegistry().count(CounterMetric::ServerStatements, "malformed");
+    }
+    const auto retryAfter = header.find(http::field::retry_after);
+    if (header.result() != http::status::service_unavailable || retryAfter == header.end()) {
+        return;
+    }
+    if (const auto time = parseDeferral(retryAfter->value())) {
+        statements.recordDeferral(target, *time, entry_.id, now);
+    } else {
+        metricsRegistry().count(CounterMetric::ServerStatements, "malformed");
+    }
+}
+
 asio::awaitable<bool> ForwardCall::sendRequest(BackendLink &link, const ServingTarget &target)
 {
     CallerRequest message(request_.method(), request_.target(), 11);
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -200,8 +200,10 @@
     }
     const auto countAge = context_.countAge.at(now);
     const auto staleness = countAge == Duration{} ? StalenessEstimate() : context_.demand.staleness(pool, countAge, now);
+    auto excluded = context_.serverStatements.unavailable(targets, now);
+    excluded.insert(excluded.end(), excluded_.begin(), excluded_.end());
     const auto choice =
-        context_.loadTracker.choose(targets, context_.settings.zone, excluded_, now, context_.random, stage(), staleness, context_.pool.connectedServers());
+        context_.loadTracker.choose(targets, context_.settings.zone, excluded, now, context_.random, stage(), staleness, context_.pool.connectedServers());
     entry_.load = choice.load;
     entry_.freeCapacity = choice.freeCapacity;
     entry_.expected = choice.expected;
@@ -215,6 +217,12 @@
                  choice.isFull ? "all places are taken" : "no healthy server is known for the model");
         retryAfter_ = choice.isFull ? RetryAfterFull : RetryAfterNoReplica;
     }
+    if (const auto left = context_.serverStatements.firstDeferralLeft(targets, now); left && !choice.isFull) {
+        if (sentAttempts_ == 0) {
+            failWith(ResultCode::BackendRefused, "all servers have asked for no requests for some time");
+        }
+        retryAfter_ = *left;
+    }
     return nullptr;
 }
 
@@ -276,6 +284,16 @@
     co_return isKept;
 }
 
+/// Time until the first server of the pool accepts requests again when all of them defer requests.
+std::optional<Duration> ForwardCall::deferralOfAllServers() const
+{
+    const auto now = context_.now();
+    const auto pool = serverPool();
+    const auto &targets = snapshot_->targets(pool.first, pool.second);
+    const bool areAllUnavailable = context_.serverStatements.unavailable(targets, now).size() == targets.size();
+    return areAllUnavailable ? context_.serverStatements.firstDeferralLeft(targets, now) : std::nullopt;
+}
+
 /// Whether the request is refused because it would crash its server; the failure is set then, unless an attempt has set it.
 bool ForwardCall::isQuarantined()
 {
@@ -311,7 +329,7 @@
     }
     if (end == AttemptEnd::NotRun) {
         failWith(mayHaveRun_ ? ResultCode::ReplicaLost : ResultCode::BackendRefused, "the server did not take the request");
-        retryAfter_ = RetryAfterServerLoss;
+        retryAfter_ = deferralOfAllServers().value_or(RetryAfterServerLoss);
     } else {
         failWith(ResultCode::ReplicaLost, isRerouting_ ? "the server is stalled" : "the server failed");
     }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -81,6 +81,7 @@
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
     asio::awaitable<bool> writeCaller(std::string bytes);
     void recordAnswer();
+    void recordStatements(const Response::value_type &header, const ServingTarget &target);
     asio::awaitable<void> checkLostServer(const ServingTarget &target);
     void keepOrClose(BackendLink &link, Response &response);
     /// Complete events of a stream.
@@ -90,6 +91,7 @@
     };
     EventBatch collectEvents(EventSplitter &splitter);
 
+    std::optional<Duration> deferralOfAllServers() const;
     bool isQuarantined();
     bool mayRetry(AttemptEnd end);
     void failWith(ResultCode code, std::string_view reason);
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -73,8 +73,9 @@
 void ForwardCall::keepOrClose(BackendLink &link, Response &response)
 {
     link.connection->unlimit();
+    const bool isLeaving = context_.serverStatements.isLeaving(link.server, link.serverStartedAt);
     // Bytes after a complete response belong to no request.
-    if (!response.keep_alive() || response.need_eof() || link.connection->buffer().size() > 0 || link.connection->isInterrupted()) {
+    if (isLeaving || !response.keep_alive() || response.need_eof() || link.connection->buffer().size() > 0 || link.connection->isInterrupted()) {
         link.connection->close();
         return;
     }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/memory_budget.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_detector.h"
+#include "gateway/server_statements.h"
 #include "gateway/wire_names.h"
 
 #include <boost/asio/io_context.hpp>
@@ -50,6 +51,7 @@
     CountAge countAge; // of other gateways' requests
     MemoryBudget responseMemory;
     CrashQuarantine quarantine;
+    ServerStatements serverStatements;
     FleetRetryBudget retryBudget;
     RequestLog log;
     RetryDetector retryDetector;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -133,6 +133,7 @@
         if (count % IdleCheckTicks == 0) {
             context_.pool.closeExpired();
             context_.quarantine.expire(now);
+            context_.serverStatements.expire(now);
         }
         if (exchange_.hasSeenTraffic() && !std::exchange(hasReportedTraffic_, true)) {
             asio::post(control_, [this] { fleet_.recordTraffic(); });
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -29,6 +29,7 @@
     std::string priority; // header to backend servers: 0 to 9, smaller ones are taken from the server's queue first; empty when there is none
     std::string serverLoad; // response header: load of the backend server; empty when the platform has none
     std::optional<StatedLoad> (*parseServerLoad)(std::string_view text) = nullptr; // empty result when the value is malformed
+    std::string serverLeaving; // response header: `1` when the backend server is about to stop; empty when the platform has none
     std::string promptParts; // header: parts of the prompt; empty when the platform has none
     std::vector<std::uint64_t> (*parsePromptParts)(std::string_view text) = nullptr; // identifiers of the parts, without malformed ones
     std::string keyScheme; // scheme of the Authorization header
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -29,6 +29,7 @@
     EngineOrders, // code: name of the result code
     IgnoredServerLoads, // reason: malformed
     CrashEvidence, // source: own, peer
+    ServerStatements, // statement: leaving, deferred, malformed
 };
 
 /// Gauges. The comment names the label and, after a colon, its values.
