Fix what a reader of the change found

One reader new to the code went through the diff. Fixed, each with its scenario: - Disproved evidence was forgotten a minute after the crash, not after the answer: an answer ended a quarantine of minutes at one gateway only, and peers brought the evidence back. Names: isConnectionLost_, lostServerCrash_, refuseIfQuarantined(), recentAnswerTime.

--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-/// One of this many reports has all evidence, for gateways that have started or were cut off since it changed.
-constexpr unsigned CompleteReportInterval = 14;
+/// One of this many reports has all evidence, for gateways that have started or were cut off since it changed. Odd, since a relay sends
+/// sums with every second report only.
+constexpr unsigned CompleteReportInterval = 13;
 
 CrashAttributionSettings makeSettings(Duration quarantineTime)
 {
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -71,8 +71,8 @@
     excluded_.push_back(target.server);
     isRerouting_ = false;
     hasAnswer_ = false;
-    hasLostConnection_ = false;
-    lostServer_ = 0;
+    isConnectionLost_ = false;
+    lostServerCrash_ = 0;
     ReroutableCall *stream = route_->kind == CallKind::Stream ? this : nullptr;
     pendingPrefillTokens_ = stream == nullptr ? 0 : promptTokens();
     const auto attemptStartedAt = context_.now();
@@ -85,7 +85,7 @@
         mayHaveRun_ = true;
         if (!isCallerGone_ && !isRerouting_) {
             context_.loadTracker.recordFailure(target.server, context_.now());
-            if (!hasAnswer_ && hasLostConnection_) {
+            if (!hasAnswer_ && isConnectionLost_) {
                 co_await checkLostServer(target);
             }
         }
@@ -110,7 +110,7 @@
     }
     activeLink_ = link;
     const auto end = co_await exchange(link, target);
-    hasLostConnection_ = hasLostConnection_ && !link.connection->isTimedOut();
+    isConnectionLost_ = isConnectionLost_ && !link.connection->isTimedOut();
     activeLink_.reset();
     co_return end;
 }
@@ -119,19 +119,27 @@
 /// was not lost.
 asio::awaitable<void> ForwardCall::checkLostServer(const ServingTarget &target)
 {
+    if (remaining() < LostServerTimeout) {
+        co_return;
+    }
     BackendLink link;
-    const auto error = co_await context_.pool.connect(target, std::min(LostServerTimeout, remaining()), link);
+    const auto error = co_await context_.pool.connect(target, LostServerTimeout, link);
     if (!error) {
         context_.pool.release(link, ProbeKeepAlive);
         co_return;
     }
+    // Other errors, such as a lack of descriptors, are this gateway's own.
+    if (error != std::errc::connection_refused && error != std::errc::connection_reset && error != std::errc::timed_out) {
+        co_return;
+    }
     context_.pool.closeIdle(target.server);
-    lostServer_ = context_.quarantine.recordLostServer(target.server, target.startedAt, entry_.id, traits_, context_.now());
+    lostServerCrash_ = context_.quarantine.recordLostServer(target.server, target.startedAt, entry_.id, traits_, context_.now());
 }
 
-void ForwardCall::recordAnswer()
+/// The server has begun to answer. Only @p isServed shows that its model bears the request: an overloaded server refuses without running it.
+void ForwardCall::recordAnswer(bool isServed)
 {
-    if (!std::exchange(hasAnswer_, true)) {
+    if (!std::exchange(hasAnswer_, true) && isServed) {
         context_.quarantine.recordAnswer(traits_, context_.now());
     }
 }
@@ -186,7 +194,7 @@
     if (route_->kind == CallKind::Stream && isSuccess) {
         co_return co_await relayStream(link, *response);
     }
-    recordAnswer();
+    recordAnswer(header.result_int() < 500 && !impliesNotRun(header.result_int()));
     co_return co_await relayCompleteResponse(link, *response);
 }
 
@@ -205,7 +213,7 @@
     }
 }
 
-/// Uses what the server states of itself, if anything. A server at a reused address that refuses requests for another one speaks for itself.
+/// Uses what the server states of itself, if anything. A response that refuses a request for another server describes that server.
 void ForwardCall::recordStatements(const Response::value_type &header, const ServingTarget &target)
 {
     if (header.result_int() == MisdirectedRequest) {
@@ -255,7 +263,7 @@
         message.content_length(request_.body().size());
     }
     const auto [error, bytes] = co_await http::async_write(link.connection->socket(), message, UseResult);
-    hasLostConnection_ = static_cast<bool>(error);
+    isConnectionLost_ = static_cast<bool>(error);
     co_return !error;
 }
 
@@ -269,7 +277,7 @@
         response->skip(request_.method() == http::verb::head);
         const auto [error, bytes] = co_await http::async_read_header(link.connection->socket(), link.connection->buffer(), *response, UseResult);
         const auto status = response->get().result_int();
-        hasLostConnection_ = isConnectionLost(error);
+        isConnectionLost_ = isConnectionLost(error);
         if (error || status == SwitchingProtocols) {
             co_return false;
         }
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -217,7 +217,7 @@
                  choice.isFull ? "all places are taken" : "no healthy server is known for the model");
         retryAfter_ = choice.isFull ? RetryAfterFull : RetryAfterNoReplica;
     }
-    if (const auto left = context_.serverStatements.firstDeferralLeft(targets, now); left && !choice.isFull) {
+    if (const auto left = deferralOfAllServers()) {
         if (sentAttempts_ == 0) {
             failWith(ResultCode::BackendRefused, "all servers have asked for no requests for some time");
         }
@@ -253,7 +253,7 @@
                 failWith(mayHaveRun_ ? ResultCode::BackendTimeout : ResultCode::DeadlinePassed, "the deadline has passed");
                 break;
             }
-            if (isQuarantined()) {
+            if (refuseIfQuarantined()) {
                 break;
             }
             const auto *target = chooseTarget();
@@ -294,15 +294,15 @@
     return areAllUnavailable ? context_.serverStatements.firstDeferralLeft(targets, now) : std::nullopt;
 }
 
-/// Whether the request is refused because it would crash its server; the failure is set then, unless an attempt has set it.
-bool ForwardCall::isQuarantined()
+/// Whether the request must not be sent because it would crash its server; the failure is set then, unless an attempt has set it.
+bool ForwardCall::refuseIfQuarantined()
 {
     const auto left = context_.quarantine.timeLeft(traits_, context_.now());
     if (left <= Duration{}) {
         return false;
     }
     if (sentAttempts_ == 0) {
-        failWith(ResultCode::PromptQuarantined, "requests with this part of the prompt crash servers");
+        failWith(ResultCode::PromptQuarantined, "requests with these traits crash servers");
         retryAfter_ = left;
     }
     return true;
@@ -333,7 +333,7 @@
     } else {
         failWith(ResultCode::ReplicaLost, isRerouting_ ? "the server is stalled" : "the server failed");
     }
-    if (lostServer_ != 0 && context_.quarantine.isSuspect(traits_, lostServer_)) {
+    if (lostServerCrash_ != 0 && context_.quarantine.isSuspect(traits_, lostServerCrash_)) {
         failWith(ResultCode::ReplicaLost, "servers were lost with such requests, so it is not sent to another one");
         return false;
     }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -80,7 +80,7 @@
     asio::awaitable<AttemptEnd> relayStream(BackendLink &link, Response &response);
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
     asio::awaitable<bool> writeCaller(std::string bytes);
-    void recordAnswer();
+    void recordAnswer(bool isServed);
     void recordStatements(const Response::value_type &header, const ServingTarget &target);
     asio::awaitable<void> checkLostServer(const ServingTarget &target);
     void keepOrClose(BackendLink &link, Response &response);
@@ -92,7 +92,7 @@
     EventBatch collectEvents(EventSplitter &splitter);
 
     std::optional<Duration> deferralOfAllServers() const;
-    bool isQuarantined();
+    bool refuseIfQuarantined();
     bool mayRetry(AttemptEnd end);
     void failWith(ResultCode code, std::string_view reason);
     asio::awaitable<bool> sendFailureResponse();
@@ -115,9 +115,9 @@
     ModelId model_;
 
     std::vector<TraitId> traits_; // to which crashes of servers are attributed
-    CrashId lostServer_ = 0; // lost in the latest attempt before it answered; 0 when none was
+    CrashId lostServerCrash_ = 0; // of the server of the latest attempt before it answered; 0 when it was not lost
     bool hasAnswer_ = false; // the server of the latest attempt has begun to answer
-    bool hasLostConnection_ = false; // the connection of the latest attempt ended by itself
+    bool isConnectionLost_ = false; // that of the latest attempt ended by itself
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
     MemoryBudget::Reservation buffered_; // response bytes that wait for more
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -99,7 +99,9 @@
         context_.log.writeStep(entry_.id, "request sent again", "the server answered with an error", entry_.server, context_.now());
         const auto *target = chooseTarget();
         if (target != nullptr && !isCallerGone_) {
-            co_return co_await attempt(*target);
+            const auto end = co_await attempt(*target);
+            hasAnswer_ = true; // of the server of this attempt, whose caller checks it
+            co_return end;
         }
     }
     // These statuses state that the request did not run, which is not certain here.
@@ -154,7 +156,7 @@
             splitter.feed({space.data(), count});
             const auto batch = collectEvents(splitter);
             if (batch.hasData) {
-                recordAnswer();
+                recordAnswer(true);
             }
             bytesSinceProgress += count;
             if (batch.hasData || bytesSinceProgress >= EventGrowthBytes) {
@@ -176,7 +178,7 @@
             }
         }
         if (error && error != http::error::need_buffer) {
-            hasLostConnection_ = isConnectionLost(error);
+            isConnectionLost_ = isConnectionLost(error);
             link.connection->close();
             co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
         }
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -179,7 +179,7 @@
 
 asio::awaitable<void> GatewaySession::sendErrorResponse(unsigned status, ResultCode code)
 {
-    logLine(LogLevel::Info, "request answered with an error before it was forwarded", {{"status", status}, {"result", resultCodeName(code)}});
+    logLine(LogLevel::Info, "request answered with an error", {{"status", status}, {"result", resultCodeName(code)}});
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     connection_->limit(LingerTimeout);
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -55,7 +55,7 @@
     GatewayContext &context_;
     GatewayServer &server_;
     ConnectionPtr connection_;
-    TimePoint idleSince_{};
+    TimePoint idleSince_;
     TimePoint receivedAt_{};
     bool isIdle_ = true;
     bool hasServedRequest_ = false;
--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -20,9 +20,9 @@
 constexpr double MaxUnmetRequests = 1e6;
 /// Older counts are not used at all; a report with more is malformed.
 constexpr Duration MaxCountAge = seconds(2);
-/// Traits in one report; those with most crashes are sent.
-constexpr std::size_t MaxTraits = 24;
-constexpr std::size_t MaxCrashes = 16; // of one trait
+/// Traits in one report, at least as many as one request can have. Those with most crashes are sent.
+constexpr std::size_t MaxTraits = 32;
+constexpr std::size_t MaxCrashes = 8; // latest ones of one trait
 
 void encodeEvidence(std::span<const TraitEvidence> evidence, wire::LoadReport::Builder root)
 {
@@ -31,10 +31,12 @@
         const auto &source = evidence[i];
         traits[i].setTrait(source.trait);
         auto crashes = traits[i].initCrashes(static_cast<unsigned>(std::min(source.crashes.size(), MaxCrashes)));
+        const auto skipped = source.crashes.size() - crashes.size();
         for (unsigned j = 0; j < crashes.size(); ++j) {
-            crashes[j].setId(source.crashes[j].id);
-            crashes[j].setAgeMs(static_cast<std::uint32_t>(inMilliseconds(source.crashes[j].age)));
-            crashes[j].setIsDisproved(source.crashes[j].isDisproved);
+            const auto &crash = source.crashes[skipped + j];
+            crashes[j].setId(crash.id);
+            crashes[j].setAgeMs(static_cast<std::uint32_t>(inMilliseconds(crash.age)));
+            crashes[j].setIsDisproved(crash.isDisproved);
         }
     }
 }
--- a/src/gateway/request_traits.cpp
+++ b/src/gateway/request_traits.cpp
@@ -8,10 +8,10 @@
 namespace
 {
 
-/// Appends @p text to the hash @p seed. The length separates it from what follows.
+/// Hash of @p text after what @p seed stands for.
 std::uint64_t appendHash(std::uint64_t seed, std::string_view text)
 {
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed + text.size());
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
 }
--- a/src/gateway/request_traits.h
+++ b/src/gateway/request_traits.h
@@ -12,7 +12,7 @@
 {
 
 /// The traits by which crashes of backend servers are attributed to requests: the parts of the prompt, or without any the fingerprint of the
-/// whole request. The same part is another trait for another service or model, whose servers may bear it.
+/// whole request. The same part is another trait for another service or model, whose servers may not crash on it.
 std::vector<TraitId> requestTraits(const WireNames &names,
                                    const boost::beast::http::request<boost::beast::http::string_body> &request,
                                    const ServerPool &pool,
--- a/src/gateway/server_statements.h
+++ b/src/gateway/server_statements.h
@@ -23,7 +23,7 @@
 class ServerStatements
 {
 public:
-    /// A server that asks for more time is tried again after this, since it may have meant another unit.
+    /// A server that asks for more time is tried again after this, since it may have meant milliseconds.
     static constexpr Duration MaxDeferral = minutes(5);
 
     void recordLeaving(const ServingTarget &server, std::string_view request, TimePoint now);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -34,7 +34,8 @@
     {"carawaypoint_peer_bytes_total", "direction", "Bytes of the inner protocol"},
     {"carawaypoint_engine_orders_total", "code", "Orders to engines by result code"},
     {"carawaypoint_ignored_server_loads_total", "reason", "Loads stated by backend servers that were not used"},
-    {"carawaypoint_crash_evidence_total", "source", "Requests lost with their servers before an answer, and reports of other daemons about such"},
+    {"carawaypoint_crash_evidence_total", "source",
+     "Requests lost with their servers before an answer (own), and reports of other daemons with such evidence (peer)"},
     {"carawaypoint_server_statements_total", "statement", "Responses in which a backend server states that it leaves or accepts no requests for a time"},
 };
 // In the order of GaugeMetric.
--- a/src/routing/crash_attribution.cpp
+++ b/src/routing/crash_attribution.cpp
@@ -68,11 +68,6 @@
 {
 }
 
-CrashAttribution::Answer &CrashAttribution::answerSlot(TraitId trait)
-{
-    return answers_[trait % AnswerSlots];
-}
-
 bool CrashAttribution::wasAnsweredSince(TraitId trait, TimePoint since) const
 {
     const auto &answer = answers_[trait % AnswerSlots];
@@ -85,10 +80,10 @@
     ++counts_.lost;
     bool hasChanged = false;
     for (const auto trait : traits) {
-        if (wasAnsweredSince(trait, now - settings_.soundTime)) {
+        if (wasAnsweredSince(trait, now - settings_.recentAnswerTime)) {
             continue;
         }
-        if (mergeCrash(trait, {crash, now, false})) {
+        if (mergeCrash(trait, {crash, now, false, {}}, now)) {
             traits_.at(trait).changedAt = now;
             hasChanged = true;
         }
@@ -104,12 +99,13 @@
     ++counts_.answered;
     bool hasChanged = false;
     for (const auto trait : traits) {
-        answerSlot(trait) = {trait, now};
+        answers_[trait % AnswerSlots] = {trait, now};
         const auto found = traits_.find(trait);
         if (found == traits_.end() || found->second.activeCount() == 0) {
             continue;
         }
         for (auto &crash : found->second.crashes) {
+            crash.disprovedAt = crash.isDisproved ? crash.disprovedAt : now;
             crash.isDisproved = true;
         }
         found->second.changedAt = now;
@@ -125,13 +121,12 @@
     bool hasChanged = false;
     for (const auto &received : evidence) {
         for (const auto &crash : received.crashes) {
-            const auto retention = crash.isDisproved ? settings_.disprovedRetention : settings_.retention;
-            if (crash.age >= retention) {
+            if (crash.age >= retention()) {
                 continue;
             }
             const auto at = now - crash.age;
-            const bool isDisproved = crash.isDisproved || wasAnsweredSince(received.trait, at - settings_.soundTime);
-            if (mergeCrash(received.trait, {crash.id, at, isDisproved})) {
+            const bool isDisproved = crash.isDisproved || wasAnsweredSince(received.trait, at - settings_.recentAnswerTime);
+            if (mergeCrash(received.trait, {crash.id, at, isDisproved, now}, now)) {
                 traits_.at(received.trait).changedAt = now;
                 hasChanged = true;
             }
@@ -143,7 +138,7 @@
 }
 
 /// Returns whether the evidence has changed.
-bool CrashAttribution::mergeCrash(TraitId trait, const Crash &crash)
+bool CrashAttribution::mergeCrash(TraitId trait, const Crash &crash, TimePoint now)
 {
     auto *entry = findOrAdd(trait);
     if (entry == nullptr) {
@@ -153,7 +148,13 @@
     const auto known = std::find_if(crashes.begin(), crashes.end(), [&crash](const Crash &each) { return each.id == crash.id; });
     if (known != crashes.end()) {
         const bool isNewlyDisproved = crash.isDisproved && !known->isDisproved;
-        known->isDisproved = known->isDisproved || crash.isDisproved;
+        if (isNewlyDisproved) {
+            known->isDisproved = true;
+            known->disprovedAt = now;
+        } else if (known->isDisproved && !crash.isDisproved) {
+            // The sender has missed the answer and is told again.
+            entry->changedAt = now;
+        }
         // The earliest time is kept: each message makes the crash seem later by its delay.
         known->at = std::min(known->at, crash.at);
         sortByTime(crashes);
@@ -241,6 +242,7 @@
 
 void CrashAttribution::expire(TimePoint now)
 {
+    startWindow(now);
     for (auto &[id, trait] : traits_) {
         std::erase_if(trait.crashes,
                       [this, now](const Crash &crash) { return now - crash.at >= (crash.isDisproved ? settings_.disprovedRetention : settings_.retention); });
@@ -298,11 +300,11 @@
         return false;
     }
     const auto crashes = trait.activeIds();
-    const bool isExplained = std::any_of(traits_.begin(), traits_.end(), [id, &crashes](const auto &other) {
+    const bool isCoveredByOther = std::any_of(traits_.begin(), traits_.end(), [id, &crashes](const auto &other) {
         const auto others = other.second.activeIds();
         return other.first != id && others.size() > crashes.size() && std::includes(others.begin(), others.end(), crashes.begin(), crashes.end());
     });
-    return !isExplained;
+    return !isCoveredByOther;
 }
 
 std::vector<CrashAttribution::Group> CrashAttribution::findGroups(TimePoint now) const
--- a/src/routing/crash_attribution.h
+++ b/src/routing/crash_attribution.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 #include <span>
-#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -22,7 +22,7 @@
 /// A crash that a request with a trait may have caused.
 struct TraitCrash {
     CrashId id = 0;
-    Duration age{}; // when the evidence was taken
+    Duration age{}; // at the time of sending
     bool isDisproved = false; // a server has answered a request with the trait since
 
     bool operator==(const TraitCrash &) const = default;
@@ -47,11 +47,11 @@
     /// Crashes closer to each other count once: many servers are lost at once when a rack, a zone or a network fails.
     Duration burstTime{milliseconds(100)};
     /// A crash is not attributed to a trait that a server answered within this time before it.
-    Duration soundTime{seconds(2)};
+    Duration recentAnswerTime{seconds(2)};
     Duration quarantineTime{minutes(10)}; // since the last crash; zero turns the quarantine off
-    /// Evidence is kept for this time, so that one more crash after the quarantine renews it.
+    /// Evidence is kept for this time after the quarantine, so that one more crash renews it.
     Duration retention{hours(1)};
-    Duration disprovedRetention{minutes(1)}; // in which copies of disproved evidence can still arrive
+    Duration disprovedRetention{minutes(1)}; // since the answer; copies of disproved evidence can still arrive
     Duration sendTime{milliseconds(1500)}; // changed evidence is sent in all messages for this time, since some of them are lost
     std::size_t maxTraits = 64;
     std::size_t maxCrashesPerTrait = 16;
@@ -105,6 +105,7 @@
         CrashId id = 0;
         TimePoint at{};
         bool isDisproved = false;
+        TimePoint disprovedAt{};
     };
     struct Trait {
         std::vector<Crash> crashes; // by time
@@ -131,9 +132,12 @@
     };
 
     static void sortByTime(std::vector<Crash> &crashes);
-    bool mergeCrash(TraitId trait, const Crash &crash);
+    bool mergeCrash(TraitId trait, const Crash &crash, TimePoint now);
+    Duration retention() const
+    {
+        return settings_.quarantineTime + settings_.retention;
+    }
     Trait *findOrAdd(TraitId trait);
-    Answer &answerSlot(TraitId trait);
     bool wasAnsweredSince(TraitId trait, TimePoint since) const;
     unsigned countBursts(const Trait &trait) const;
     void startWindow(TimePoint now);
--- a/tests/routing/crash_attribution_test.cpp
+++ b/tests/routing/crash_attribution_test.cpp
@@ -138,6 +138,27 @@
     EXPECT_TRUE(idsOf(second, 5, seconds(3)).empty());
 }
 
+// Guards against a quarantine that an answer ends at one gateway only: the evidence is minutes old, and a message is lost.
+TEST(CrashAttribution, oldEvidenceIsDisprovedEverywhere)
+{
+    CrashAttribution first;
+    CrashAttribution second;
+    recordOtherAnswers(first, Duration{});
+    recordOtherAnswers(second, Duration{});
+    for (unsigned number = 1; number <= 3; ++number) {
+        first.recordCrash(number, std::vector<TraitId>{5}, at(seconds(number)));
+    }
+    second.merge(first.evidence(true, at(seconds(4))), at(seconds(4)));
+    EXPECT_GT(second.quarantineLeft(std::vector<TraitId>{5}, at(minutes(5))), Duration{});
+    first.recordAnswer(std::vector<TraitId>{5}, at(minutes(5)));
+    first.expire(at(minutes(5) + seconds(1)));
+    // The messages with the answer are lost; a complete report of the second gateway makes the first repeat it.
+    first.merge(second.evidence(true, at(minutes(5) + seconds(10))), at(minutes(5) + seconds(10)));
+    EXPECT_EQ(first.quarantineLeft(std::vector<TraitId>{5}, at(minutes(5) + seconds(10))), Duration{});
+    second.merge(first.evidence(false, at(minutes(5) + seconds(10))), at(minutes(5) + seconds(10)));
+    EXPECT_EQ(second.quarantineLeft(std::vector<TraitId>{5}, at(minutes(5) + seconds(10))), Duration{});
+}
+
 // Guards against a quarantine that never ends, and against three more crashes after each end of one.
 TEST(CrashAttribution, quarantineEndsAndOneCrashRenewsIt)
 {
