Use one answering handler in the tests of closed connections

Seven tests repeated the same server; the fixture has its handler now. The tests of the quarantine wrapped each server in a struct with one member, in a list that hid the one of the base class. The tests check what they did; no file outside tests/ changes.

--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -45,23 +45,21 @@
     void startCrashingServers(unsigned count)
     {
         for (unsigned number = 0; number < count; ++number) {
-            servers_.push_back(std::make_unique<Server>());
-            auto &server = *servers_.back();
-            server.socket = std::make_unique<FakeServer>([this, &server](const TestMessage &message, TestConnection &connection) {
+            backends_.push_back(std::make_unique<FakeServer>([this, number](const TestMessage &message, TestConnection &connection) {
                 const bool isHarmful = (message.header("x-parts") + message.startLine).find(HarmfulPart) != std::string::npos;
                 if (isHarmful) {
                     ++crashes_;
-                    server.socket->stopListening();
+                    backends_[number]->stopListening();
                     return false;
                 }
                 const auto id = message.header("x-id");
                 const bool isStream = message.startLine.find("/s/") != std::string::npos;
                 return connection.write(isStream ? eventStream(id, 1, 2, true) : answer(id, "x"));
-            });
+            }));
         }
         std::vector<Endpoint> endpoints;
-        for (const auto &server : servers_) {
-            endpoints.push_back(server->socket->endpoint());
+        for (const auto &backend : backends_) {
+            endpoints.push_back(backend->endpoint());
         }
         start(endpoints);
     }
@@ -78,11 +76,7 @@
     std::atomic<int> crashes_ = 0;
 
 private:
-    struct Server {
-        std::unique_ptr<FakeServer> socket;
-    };
-
-    std::vector<std::unique_ptr<Server>> servers_;
+    std::vector<std::unique_ptr<FakeServer>> backends_;
     int requests_ = 0;
 };
 
--- a/tests/gateway/session_close_test.cpp
+++ b/tests/gateway/session_close_test.cpp
@@ -18,12 +18,20 @@
 
 }
 
-using SessionClose = GatewayTest;
+class SessionClose : public GatewayTest
+{
+protected:
+    /// Handler of a server that answers every request.
+    static bool answerEach(const TestMessage &message, TestConnection &connection)
+    {
+        return connection.write(answer(message.header("x-id"), "x"));
+    }
+};
 
 // Guards against a planned stop that closes a kept connection although the caller's next request has arrived: the caller got a reset.
 TEST_F(SessionClose, requestThatArrivesBeforeAPlannedStopIsAnswered)
 {
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     auto caller = connect();
     caller.write(request("/r/", "q1"));
@@ -42,7 +50,7 @@
 // Guards against a planned stop that closes a connection which was just opened and whose first request is on its way.
 TEST_F(SessionClose, firstRequestOfANewConnectionIsAnsweredDuringAPlannedStop)
 {
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     auto caller = connect();
     std::this_thread::sleep_for(ArrivalTime);
@@ -61,7 +69,7 @@
     FakeServer backend([&mayEnd](const TestMessage &message, TestConnection &connection) {
         const auto id = message.header("x-id");
         if (id != "q1") {
-            return connection.write(answer(id, "x"));
+            return answerEach(message, connection);
         }
         const auto stream = eventStream(id, 1, 1, false);
         connection.write(stream.substr(0, stream.find("20\r\n")));
@@ -90,7 +98,7 @@
 TEST_F(SessionClose, requestThatCrossesTheCloseOfAnIdleConnectionIsNotRead)
 {
     idleTimeout_ = ShortIdleTimeout;
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     auto caller = connect();
     caller.write(request("/r/", "q1"));
@@ -107,7 +115,7 @@
 TEST_F(SessionClose, longerIdleTimeoutAppliesToIdleConnections)
 {
     idleTimeout_ = ShortIdleTimeout;
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     auto caller = connect();
     caller.write(request("/r/", "q1"));
@@ -125,7 +133,7 @@
 // tenth of a second old.
 TEST_F(SessionClose, processDoesNotEndWhileARequestArrives)
 {
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     auto caller = connect();
     auto idle = connect();
@@ -169,7 +177,7 @@
 TEST_F(SessionClose, limitOfConnectionsClosesTheOneIdleForLongest)
 {
     settings_.maxDescriptors = 15; // 10 connections of callers
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     std::vector<TestConnection> idle;
     for (int number = 0; number < 10; ++number) {
@@ -197,7 +205,7 @@
 // Guards against a caller whose malformed body is answered with a closed connection only.
 TEST_F(SessionClose, malformedBodyIsAnswered)
 {
-    FakeServer backend([](const TestMessage &message, TestConnection &connection) { return connection.write(answer(message.header("x-id"), "x")); });
+    FakeServer backend(answerEach);
     start({backend.endpoint()});
     auto caller = connect();
     caller.write("POST /r/ HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nAuthorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
