--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -9,7 +9,7 @@
 fi
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
-timeout -k 5 110 review/out/standin late-removal --binary target/carawaypoint --template deploy/gateway.ini --dir "$dir" \
+timeout -k 5 110 review/out/standin crashing-request --binary target/carawaypoint --template deploy/gateway.ini --dir "$dir" \
     --record "$here/record.txt" --trouble "${TROUBLE:-1}"
 rc=$?
 [ "$rc" -le 1 ] || rc=2
--- a/review/build.sh
+++ b/review/build.sh
@@ -17,4 +17,5 @@
 printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -I{} bash -euo pipefail -c 'compile "$@"' _ {} "${flags[@]}"
 objects=()
 for source in "${sources[@]}"; do objects+=("$out/$(echo "$source" | tr / -).o"); done
-"${CXX:-g++}" "${objects[@]}" -o "$out/standin" -lboost_json -pthread
+"${CXX:-g++}" "${objects[@]}" -o "$out/standin.new" -lboost_json -pthread
+mv "$out/standin.new" "$out/standin"
--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -28,6 +28,7 @@
 
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 constexpr auto Host = "small.example";
+constexpr std::uint64_t MaxAnswerBytes = std::uint64_t{64} * 1024 * 1024;
 
 std::uint64_t unixMs()
 {
@@ -132,7 +133,7 @@
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(64 * 1024 * 1024);
+    parser.body_limit(MaxAnswerBytes);
     const auto [error, bytes] = co_await http::async_read(stream_, buffer, parser, Token);
     answer.endedAt = Clock::now();
     if (parser.is_header_done()) {
@@ -165,7 +166,7 @@
 {
     born_ = unixMs();
     listener_ = std::make_shared<carawaypoint::standins::HttpListener>(fleet_.io().get_executor(), endpoint_,
-                                                                      [this](HttpExchange &exchange) { return handle(exchange); });
+                                                                       [this](HttpExchange &exchange) { return handle(exchange); });
     listener_->start();
     fleet_.store().put("servers", id_,
                        json::object{{"service", service_},
@@ -195,6 +196,12 @@
     interval_ = interval;
 }
 
+void PlainServer::crashOn(std::string body, std::function<void()> whenCrashed)
+{
+    crashBody_ = std::move(body);
+    whenCrashed_ = std::move(whenCrashed);
+}
+
 asio::awaitable<void> PlainServer::handle(HttpExchange &exchange)
 {
     const auto expected = exchange.header("Carawaypoint-Expect-Instance");
@@ -214,9 +221,17 @@
         co_return;
     }
     co_await exchange.startStream(headers);
-    for (unsigned number = 1; number <= events_; ++number) {
+    const auto after = exchange.header("Last-Event-Id");
+    const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
+    for (unsigned number = first; number <= events_; ++number) {
         co_await sleepFor(interval_);
         co_await exchange.sendChunk("id: " + std::to_string(number) + "\ndata: " + request + " piece " + std::to_string(number) + "\n\n");
+        if (!crashBody_.empty() && exchange.request().body() == crashBody_) {
+            co_await sleepFor(milliseconds(5));
+            end();
+            whenCrashed_();
+            co_return;
+        }
     }
     co_await exchange.endStream();
 }
@@ -244,7 +259,7 @@
     return {asio::ip::make_address(prefix_ + std::to_string(host)), port};
 }
 
-void Fleet::startGateway(const std::string &zone, tcp::endpoint store)
+void Fleet::startGateway(const std::string &zone, const tcp::endpoint &store)
 {
     const auto number = gateways_.size();
     const auto ip = callersOf(number).address().to_string();
@@ -351,7 +366,7 @@
 Verdict Fleet::run(asio::awaitable<Verdict> scenario)
 {
     auto verdict = Verdict::NotRun;
-    asio::co_spawn(io_, std::move(scenario), [this, &verdict](std::exception_ptr error, Verdict result) {
+    asio::co_spawn(io_, std::move(scenario), [this, &verdict](const std::exception_ptr &error, Verdict result) {
         verdict = error ? Verdict::NotRun : result;
         if (error) {
             record_.note("the case ended with an error");
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,10 +24,10 @@
 namespace json = boost::json;
 using asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
-using std::chrono::milliseconds;
 using carawaypoint::soak::ObjectService;
 using carawaypoint::standins::HttpExchange;
 using carawaypoint::standins::sleepFor;
+using std::chrono::milliseconds;
 
 /// Exit codes of a case.
 enum class Verdict : int {
@@ -116,6 +117,8 @@
     void end();
     /// Streams this many events, one for each @p interval, instead of one body.
     void stream(unsigned events, milliseconds interval);
+    /// Ends just after the first event of a stream whose request has this body, and calls @p whenCrashed.
+    void crashOn(std::string body, std::function<void()> whenCrashed);
     const std::string &id() const
     {
         return id_;
@@ -133,6 +136,8 @@
     unsigned slots_;
     std::uint64_t born_ = 0;
     unsigned events_ = 0;
+    std::string crashBody_;
+    std::function<void()> whenCrashed_;
     milliseconds interval_{};
     std::shared_ptr<carawaypoint::standins::HttpListener> listener_;
 };
@@ -164,7 +169,7 @@
     tcp::endpoint endpoint(unsigned host, unsigned short port) const;
 
     /// Adds and starts a gateway that reaches the store at @p store.
-    void startGateway(const std::string &zone, tcp::endpoint store);
+    void startGateway(const std::string &zone, const tcp::endpoint &store);
     /// Starts an added gateway again that has ended.
     void restartGateway(std::size_t number);
     carawaypoint::soak::GatewayProcess &gateway(std::size_t number)
@@ -210,6 +215,7 @@
 // The cases.
 asio::awaitable<Verdict> foreignEntry(Fleet &fleet, bool hasTrouble);
 asio::awaitable<Verdict> lateRemoval(Fleet &fleet, bool hasTrouble);
+asio::awaitable<Verdict> crashingRequest(Fleet &fleet, bool hasTrouble);
 asio::awaitable<Verdict> requestDuringStop(Fleet &fleet, bool hasTrouble);
 
 }
--- a/review/standins/foreign_entry.cpp
+++ b/review/standins/foreign_entry.cpp
@@ -54,8 +54,7 @@
                 state.served += answer.status == 200 ? 1 : 0;
             } else {
                 const bool hasRun = !fleet.runsOf(id).empty();
-                fleet.record().note("cut   " + id + (hasRun ? ", a server runs it" : ", no server has it")
-                                    + (isFirst ? "" : ", on a kept connection"));
+                fleet.record().note("cut   " + id + (hasRun ? ", a server runs it" : ", no server has it") + (isFirst ? "" : ", on a kept connection"));
                 state.lost += hasRun && !isFirst ? 1 : 0;
             }
             co_await sleepFor(milliseconds(80 + state.random() % 100));
@@ -87,9 +86,9 @@
 
 asio::awaitable<Verdict> foreignEntry(Fleet &fleet, bool hasTrouble)
 {
-    fleet.store().put("config", "main",
-                      makeConfig(7, {makeRoute("/book/", "non_idempotent", "rota-app", 1500)}, {json::object{{"name", "rota-app"}, {"max_conns", 49}}},
-                                 {"key-one"}));
+    fleet.store().put(
+        "config", "main",
+        makeConfig(7, {makeRoute("/book/", "non_idempotent", "rota-app", 1500)}, {json::object{{"name", "rota-app"}, {"max_conns", 49}}}, {"key-one"}));
     for (const auto *zone : {"a", "b", "c"}) {
         fleet.addServer(std::string("i-") + zone, "rota-app", zone, 60ms).start();
     }
--- a/review/standins/late_removal.cpp
+++ b/review/standins/late_removal.cpp
@@ -72,9 +72,9 @@
 
 asio::awaitable<Verdict> lateRemoval(Fleet &fleet, bool hasTrouble)
 {
-    fleet.store().put("config", "main",
-                      makeConfig(7, {makeRoute("/book/", "non_idempotent", "rota-app", 1500)}, {json::object{{"name", "rota-app"}, {"max_conns", 49}}},
-                                 {"key-one"}));
+    fleet.store().put(
+        "config", "main",
+        makeConfig(7, {makeRoute("/book/", "non_idempotent", "rota-app", 1500)}, {json::object{{"name", "rota-app"}, {"max_conns", 49}}}, {"key-one"}));
     unsigned added = 0;
     const auto addServer = [&]() -> PlainServer & {
         auto &server = fleet.addServer("i-" + std::to_string(++added), "rota-app", std::string(1, static_cast<char>('a' + added % 3)), 150ms);
@@ -126,9 +126,8 @@
     }
     state.isStopped = true;
     co_await sleepFor(2s);
-    fleet.record().note("served " + std::to_string(state.served) + ", reached a server that had left more than "
-                        + std::to_string((DrainTime + Margin).count()) + " ms before: " + std::to_string(state.late) + ", of these lost: "
-                        + std::to_string(state.lost));
+    fleet.record().note("served " + std::to_string(state.served) + ", reached a server that had left more than " + std::to_string((DrainTime + Margin).count())
+                        + " ms before: " + std::to_string(state.late) + ", of these lost: " + std::to_string(state.lost));
     if (state.served == 0) {
         co_return Verdict::NotRun;
     }
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -9,7 +9,8 @@
 int main(int argc, char **argv)
 {
     using Case = review::asio::awaitable<review::Verdict> (*)(review::Fleet &, bool);
-    const std::map<std::string, Case> cases{{"foreign-entry", review::foreignEntry},
+    const std::map<std::string, Case> cases{{"crashing-request", review::crashingRequest},
+                                            {"foreign-entry", review::foreignEntry},
                                             {"late-removal", review::lateRemoval},
                                             {"request-during-stop", review::requestDuringStop}};
     const std::vector<std::string> arguments(argv + 1, argv + argc);
--- a/review/standins/request_during_stop.cpp
+++ b/review/standins/request_during_stop.cpp
@@ -88,7 +88,9 @@
     const bool isCounted = signal != Clock::time_point::max() && answer.sentAt > signal + CountedAfter && answer.endedAt < signal + GraceTime;
     if (isCounted && !answer.isComplete && !fleet.runsOf(request.id).empty()) {
         ++state.lost;
-        const auto ms = [signal](Clock::time_point time) { return std::to_string(std::chrono::duration_cast<milliseconds>(time - signal).count()); };
+        const auto ms = [signal](Clock::time_point time) {
+            return std::to_string(std::chrono::duration_cast<milliseconds>(time - signal).count());
+        };
         fleet.record().note("lost  " + request.id + ": sent to gateway " + std::to_string(number + 1) + " " + ms(answer.sentAt)
                             + " ms after its SIGTERM, run by a server, connection ended " + ms(answer.endedAt) + " ms after it in the middle of the answer");
     }
@@ -98,9 +100,9 @@
 
 asio::awaitable<Verdict> requestDuringStop(Fleet &fleet, bool hasTrouble)
 {
-    fleet.store().put("config", "main",
-                      makeConfig(7, {makeRoute("/draft/", "streaming", "assistant", 8000, true)}, {json::object{{"name", "assistant"}, {"max_conns", 324}}},
-                                 {"key-one"}));
+    fleet.store().put(
+        "config", "main",
+        makeConfig(7, {makeRoute("/draft/", "streaming", "assistant", 8000, true)}, {json::object{{"name", "assistant"}, {"max_conns", 324}}}, {"key-one"}));
     for (unsigned number = 0; number < Servers; ++number) {
         auto &server = fleet.addServer("i-" + std::to_string(number + 1), "assistant", "a", 0ms, 100);
         server.stream(Events, EventInterval);
