Ignore registrations that no replica of the configuration can have

Cause: the replica controller adopted replicas from the reports of all servers, whatever their service, and sized the list of members by the largest rank, which overflowed to 0. Related paths with the same cause: such an entry with the name of a sound replica hid it from requests or filled an empty place of it, and a service that a new configuration no longer names made each decision throw while its replica formed.

Ruled out: epochs, slots and start times of such entries; they are compared or scaled, and never index anything.

Change: groupByReplica() groups by service and leaves out unnamed services and impossible ranks; free servers have a possible rank; models are looked up in one place.

--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -153,7 +153,7 @@
 
 void ReplicaController::adoptReportedReplicas(const ServerMap &servers, TimePoint now)
 {
-    for (const auto &view : groupByReplica(servers)) {
+    for (const auto &view : groupByReplica(servers, *config_)) {
         if (plans_.contains(view.id)) {
             continue;
         }
@@ -163,19 +163,25 @@
     }
 }
 
+/// The model's specification; null when the configuration has no such model or service, for example no longer.
+const ModelSpec *ReplicaController::findModel(const ServiceId &service, const ModelId &model) const
+{
+    const auto found = config_->services.find(service);
+    return found == config_->services.end() || !found->second.engine ? nullptr : found->second.engine->findModel(model);
+}
+
 ReplicaPlan ReplicaController::makeAdoptedPlan(const ReplicaMembers &view, TimePoint now) const
 {
     ReplicaPlan plan{.id = view.id, .epoch = view.epoch, .service = view.service, .domain = view.domain, .model = view.model};
     plan.phaseSince = now;
-    const auto service = config_->services.find(view.service);
-    const auto *model = service == config_->services.end() || !service->second.engine ? nullptr : service->second.engine->findModel(view.model);
+    const auto *model = findModel(view.service, view.model);
     const unsigned last = view.members.rbegin()->first;
     plan.members.resize(std::max(model == nullptr ? 1 : model->size, last + 1));
     for (const auto &[rank, server] : view.members) {
         plan.members[rank] = reportedMember(*server, now);
     }
     const auto *head = view.head();
-    const bool isComplete = model != nullptr && view.members.size() == model->size;
+    const bool isComplete = model != nullptr && view.members.size() == model->size && last + 1 == model->size;
     plan.isAdopted = true;
     plan.phase = PlanPhase::Ending;
     if (isComplete && head != nullptr) {
@@ -193,7 +199,7 @@
         return;
     }
     for (const auto &[id, server] : servers) {
-        if (!reports(server, plan) || server.membership->rank >= plan.members.size()) {
+        if (!reports(server, plan) || server.service != plan.service || server.membership->rank >= plan.members.size()) {
             continue;
         }
         auto &member = plan.members[server.membership->rank];
@@ -246,7 +252,7 @@
 
 void ReplicaController::updateJoining(ReplicaPlan &plan, const ServerMap &servers, TimePoint now)
 {
-    const auto *model = config_->services.at(plan.service).engine->findModel(plan.model);
+    const auto *model = findModel(plan.service, plan.model);
     bool isReady = true;
     bool isLoading = false;
     for (auto &member : plan.members) {
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -47,7 +47,8 @@
     FreeByDomain free;
     for (const auto &[id, server] : servers) {
         const auto service = config_->services.find(server.service);
-        if (service == config_->services.end() || !service->second.engine || server.isLeaving || server.isRegistrationLapsed || assigned.contains(id)) {
+        if (service == config_->services.end() || !service->second.engine || server.isLeaving || server.isRegistrationLapsed || assigned.contains(id)
+            || !hasPossibleRank(server)) {
             continue;
         }
         if (hasTraffic_ && now - registeredSince_.at(id) < settings_.minRegistrationAge) {
--- a/src/fleet/replica_view.cpp
+++ b/src/fleet/replica_view.cpp
@@ -1,10 +1,18 @@
 #include "fleet/replica_view.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace carawaypoint
 {
 
+namespace
+{
+
+constexpr unsigned MaxReplicaSize = 1024; // VMs; more than any fabric domain has
+
+}
+
 const BackendServer *ReplicaMembers::head() const
 {
     const auto found = members.find(0);
@@ -23,14 +31,21 @@
     });
 }
 
-std::vector<ReplicaMembers> groupByReplica(const ServerMap &servers)
+bool hasPossibleRank(const BackendServer &server)
 {
-    std::map<std::pair<ReplicaId, std::uint64_t>, ReplicaMembers> views;
+    return !server.membership || server.membership->rank < MaxReplicaSize;
+}
+
+std::vector<ReplicaMembers> groupByReplica(const ServerMap &servers, const ServiceConfig &config)
+{
+    std::map<std::tuple<ServiceId, ReplicaId, std::uint64_t>, ReplicaMembers> views;
     for (const auto &[id, server] : servers) {
-        if (!server.membership) {
+        const auto service = config.services.find(server.service);
+        const bool hasEngine = service != config.services.end() && service->second.engine;
+        if (!server.membership || !hasEngine || !hasPossibleRank(server)) {
             continue;
         }
-        auto &view = views[{server.membership->replica, server.membership->epoch}];
+        auto &view = views[{server.service, server.membership->replica, server.membership->epoch}];
         view.id = server.membership->replica;
         view.epoch = server.membership->epoch;
         view.service = server.service;
@@ -66,17 +81,13 @@
 
 void FleetSnapshot::addReplicas(const ServerMap &servers)
 {
-    for (const auto &view : groupByReplica(servers)) {
-        const auto service = config_->services.find(view.service);
-        if (service == config_->services.end() || !service->second.engine) {
-            continue;
-        }
-        const auto *model = service->second.engine->findModel(view.model);
+    for (const auto &view : groupByReplica(servers, *config_)) {
+        const auto &engine = *config_->services.at(view.service).engine;
+        const auto *model = engine.findModel(view.model);
         const auto *head = view.head();
         if (model == nullptr || head == nullptr || head->membership->state != MembershipState::Open || !view.isComplete(model->size)) {
             continue;
         }
-        const auto &engine = *service->second.engine;
         const double prefillRate = model->pace > 0 ? engine.prefillTokensPerSecond / model->pace : 0;
         targets_[{view.service, view.model}].push_back({head->id, head->address, head->zone, engine.slots, head->startedAt, view.id, view.epoch, prefillRate});
     }
--- a/src/fleet/replica_view.h
+++ b/src/fleet/replica_view.h
@@ -41,8 +41,13 @@
     bool isComplete(unsigned size) const;
 };
 
-/// Groups servers by replica and epoch. The result refers to @p servers.
-std::vector<ReplicaMembers> groupByReplica(const ServerMap &servers);
+/// Whether a replica can have a member with the rank that the server reports, if it reports one. A registration of another writer may contain
+/// any number, for example the largest one for "no rank".
+bool hasPossibleRank(const BackendServer &server);
+
+/// Groups servers of services with an engine by service, replica and epoch. The result refers to @p servers. Servers whose service @p config
+/// does not name, and those with an impossible rank, are left out.
+std::vector<ReplicaMembers> groupByReplica(const ServerMap &servers, const ServiceConfig &config);
 
 /// Immutable snapshot of the configuration and the eligible targets, shared with the traffic thread.
 class FleetSnapshot
--- a/tests/fleet/fleet_rules_test.cpp
+++ b/tests/fleet/fleet_rules_test.cpp
@@ -84,6 +84,23 @@
     EXPECT_EQ(targets(), 0U);
 }
 
+// Guards against a sound replica that gets no requests because a registration of another writer names it with an unnamed service.
+TEST(FleetSnapshot, registrationOfAnUnnamedServiceHidesNoReplica)
+{
+    ServerMap servers;
+    servers[VmId("a")] = makeMember("a", 0, MembershipState::Open);
+    servers[VmId("b")] = makeMember("b", 1, MembershipState::Ready);
+    servers[VmId("c")] = makeMember("c", 2, MembershipState::Ready);
+    for (const unsigned rank : {0U, 2U, 3U}) {
+        servers[VmId("w")] = makeMember("w", rank, MembershipState::Broken);
+        servers[VmId("w")].service = ServiceId("ledger");
+        const FleetSnapshot snapshot(makeConfig(), servers);
+        const auto &targets = snapshot.targets(ServiceId("drafting"), ModelId("small"));
+        ASSERT_EQ(targets.size(), 1U) << "rank " << rank;
+        EXPECT_EQ(targets.front().server.str(), "a") << "rank " << rank;
+    }
+}
+
 TEST(FleetSnapshot, leavingPlainServersAreNotTargets)
 {
     ServerMap servers;
--- a/tests/fleet/replica_controller_test.cpp
+++ b/tests/fleet/replica_controller_test.cpp
@@ -4,7 +4,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <deque>
+#include <limits>
 
 namespace carawaypoint
 {
@@ -408,6 +410,82 @@
     }
 }
 
+// Guards against the end of the process that holds the lease: a registration of another writer, with a service that the configuration does not
+// name and the largest rank, made it write far outside of the list of members.
+TEST(ReplicaController, registrationOfAnUnnamedServiceIsIgnored)
+{
+    ControllerRun run;
+    BackendServer foreign;
+    foreign.id = VmId("w-31");
+    foreign.service = ServiceId("ledger");
+    foreign.address = {"10.0.0.9", 9};
+    foreign.membership = ReplicaMembership{ReplicaId("ledgers"), 3, std::numeric_limits<unsigned>::max(), MembershipState::Ready};
+    run.outdatedRegistrations[foreign.id] = foreign;
+    run.run(seconds(40));
+    EXPECT_EQ(run.servers.servingReplicas(Large), 2U);
+    EXPECT_EQ(run.servers.servingReplicas(Small), 2U);
+}
+
+// Guards against the end of the process, and against sound replicas that are ended, because of well-formed registrations of other writers with
+// any service, rank, epoch and replica. The sound ones stay as they are.
+TEST(ReplicaController, randomRegistrationsOfOtherWritersChangeNothing)
+{
+    constexpr std::array<unsigned, 5> Ranks{1, 7, 4096, 5'000'000, std::numeric_limits<unsigned>::max()};
+    constexpr std::array<std::uint64_t, 3> Epochs{0, (1ULL << 20) + 1, std::numeric_limits<std::uint64_t>::max()};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ControllerRun run;
+        run.random.seed(seed);
+        run.run(seconds(40));
+        run.startTraffic();
+        for (unsigned round = 0; round < 10; ++round) {
+            BackendServer foreign;
+            foreign.id = VmId("w-" + std::to_string(round));
+            foreign.service = ServiceId("ledger");
+            foreign.address = {"10.0.0.9", 9};
+            foreign.startedAt = run.random() % 2 == 0 ? 0 : std::numeric_limits<std::uint64_t>::max();
+            foreign.slots = run.random() % 2 == 0 ? 1 : std::numeric_limits<unsigned>::max();
+            foreign.loadedModel = run.random() % 2 == 0 ? Large : ModelId("other");
+            const auto epoch = Epochs.at(run.random() % Epochs.size());
+            foreign.membership = ReplicaMembership{ReplicaId("r" + std::to_string(epoch)), epoch, Ranks.at(run.random() % Ranks.size()),
+                                                   static_cast<MembershipState>(run.random() % 5)};
+            run.outdatedRegistrations[foreign.id] = foreign;
+            if (run.random() % 3 == 0) {
+                run.restart(round + 2);
+            }
+            run.run(seconds(2));
+        }
+        ASSERT_EQ(run.servers.servingReplicas(Large), 2U) << "seed " << seed;
+        ASSERT_EQ(run.servers.servingReplicas(Small), 2U) << "seed " << seed;
+        ASSERT_THAT(run.servers.violations(), IsEmpty()) << "seed " << seed;
+    }
+}
+
+// Guards against an absurd rank of a named service, for which members were reserved until the memory was used up.
+TEST(ReplicaController, absurdRankOfANamedServiceIsIgnored)
+{
+    ControllerRun run;
+    auto foreign = run.servers.state(run.servers.ids().front());
+    foreign.id = VmId("w-31");
+    for (const unsigned rank : {5'000'000U, std::numeric_limits<unsigned>::max()}) {
+        foreign.membership = ReplicaMembership{ReplicaId("others"), 3, rank, MembershipState::Ready};
+        run.outdatedRegistrations[foreign.id] = foreign;
+        run.run(seconds(20));
+        for (const auto &change : run.controller.takePlanChanges()) {
+            EXPECT_NE(change.replica.str(), "others");
+        }
+    }
+}
+
+// Guards against an exception on each decision while a replica forms whose service a new configuration no longer names.
+TEST(ReplicaController, serviceThatIsRemovedWhileItsReplicaFormsIsNoError)
+{
+    ControllerRun run;
+    run.run(seconds(2));
+    run.config = std::make_shared<ServiceConfig>();
+    run.controller.setConfig(run.config);
+    EXPECT_NO_THROW(run.run(seconds(20)));
+}
+
 // Guards against a fleet that does not recover after lost servers have returned and delayed orders have ended.
 TEST(ReplicaController, servesAgainAfterFaultsEnd)
 {
