Refuse requests that may outlive a planned stop, and use the drain time whole

Cause: a gateway that stops took every request for 3.2 s, and on connections from before the signal without a limit, but ended after 0.85 of the drain time, 6.8 s of 8 s.

Ruled out: the end of an idle process, since a session counts as busy for half a second after its last response. The frozen view of servers during the stop is a matter of its own.

Change: DrainSchedule holds the times. Each cut request gets its request line.

--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -67,7 +67,7 @@
 
 bool ForwardCall::isCallerKept() const
 {
-    return request_.keep_alive() && !context_.isDraining && !mustCloseCaller_;
+    return request_.keep_alive() && !context_.drain.isStarted() && !mustCloseCaller_;
 }
 
 /// Status line and header fields of a response to the caller, which also say whether its connection is kept. A stop of the gateway that
@@ -125,6 +125,11 @@
         failWith(ResultCode::MalformedRequest, "the request has no id");
         return false;
     }
+    if (!context_.drain.mayTake(deadline_, context_.now())) {
+        failWith(ResultCode::Draining, "this gateway may end before the request does");
+        retryAfter_ = RetryAfterDrain;
+        return false;
+    }
     model_ = ModelId(std::string(request_[context_.names.model]));
     entry_.model = model_.str();
     service_ = pickService();
@@ -383,6 +388,12 @@
     co_return isWritten && !isCloseAnnounced_;
 }
 
+void ForwardCall::logCut()
+{
+    failWith(isHeaderSent_ ? ResultCode::StreamCut : ResultCode::Draining, "the drain time is over");
+    writeLog();
+}
+
 void ForwardCall::writeLog()
 {
     entry_.total = context_.now() - receivedAt_;
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -35,6 +35,8 @@
     {
         return entry_.id;
     }
+    /// Writes the log entry of the request, which is cut because the process ends.
+    void logCut();
     /// Whether bytes of a response were sent to the caller.
     bool hasSentResponse() const
     {
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "gateway/backend_load_tracker.h"
 #include "gateway/count_age.h"
 #include "gateway/crash_quarantine.h"
+#include "gateway/drain_schedule.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/fleet_retry_budget.h"
 #include "gateway/memory_budget.h"
@@ -57,7 +58,7 @@
     RetryDetector retryDetector;
     unsigned requestsInProgress = 0;
     std::uint64_t requestsStarted = 0;
-    bool isDraining = false;
+    DrainSchedule drain{settings.drainTime};
 
     // Destroying io destroys suspended coroutines, whose sessions use the members above.
     asio::io_context io{1};
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -24,12 +24,9 @@
 {
 
 constexpr Duration LoadTrackerTick = milliseconds(100);
-/// Time after a stop in which new connections are accepted: the load balancer removes a daemon after two failed readiness checks, one
-/// second apart.
-constexpr Duration AcceptAfterStop = milliseconds(3200);
 constexpr Duration DrainCheckInterval = milliseconds(100);
-/// Share of the drain time that requests may use; the rest is for releasing the lease and writing the last log lines.
-constexpr double RequestDrainShare = 0.85;
+/// Time after the listener is closed in which connections that it had accepted become sessions.
+constexpr Duration AcceptedSessionTime = 3 * LoadTrackerTick;
 constexpr std::size_t IdleCheckTicks = 10; // load tracker ticks between checks for expired idle connections
 
 /// Later processes have larger incarnations, unless the wall clock is set back by more than a restart takes.
@@ -56,6 +53,7 @@
         , fleet_(control_, settings_, clock_, process_, *platform_, hooks())
         , loadTrackerTimer_(context_.io)
         , drainTimer_(control_)
+        , drain_(settings_.drainTime)
     {
     }
 
@@ -72,7 +70,6 @@
         auto work = boost::asio::make_work_guard(context_.io);
         std::thread traffic([this] { runTraffic(); });
         runLoop(control_, "control");
-        context_.io.stop();
         traffic.join();
         logLine(LogLevel::Info, "gateway stopped");
         stopLog();
@@ -182,7 +179,7 @@
         if (std::exchange(isStopping_, true)) {
             return;
         }
-        stoppedAt_ = clock_.now();
+        drain_.start(clock_.now());
         status_.setReady(false);
         logLine(LogLevel::Info, "graceful stop started", {{"requests_in_progress", requestsInProgress_.load()}});
         asio::post(context_.io, [this] { server_.drain(); });
@@ -192,19 +189,19 @@
 
     void awaitDrain()
     {
-        const auto elapsed = clock_.now() - stoppedAt_;
-        const auto limit = Duration(static_cast<std::int64_t>(static_cast<double>(settings_.drainTime.count()) * RequestDrainShare));
-        if (elapsed >= AcceptAfterStop && !std::exchange(hasStoppedAccepting_, true)) {
+        const auto now = clock_.now();
+        if (!drain_.mayAccept(now) && !std::exchange(hasStoppedAccepting_, true)) {
             asio::post(context_.io, [this] { server_.stopAccepting(); });
         }
-        if (elapsed >= limit) {
+        if (drain_.isOver(now)) {
             if (requestsInProgress_.load() > 0) {
                 logLine(LogLevel::Warning, "drain time is over; requests are cut", {{"requests_in_progress", requestsInProgress_.load()}});
             }
+            asio::post(context_.io, [this] { server_.cutRequests(); });
             control_.stop();
             return;
         }
-        if (elapsed >= AcceptAfterStop + 3 * LoadTrackerTick) {
+        if (!drain_.mayAccept(now - AcceptedSessionTime)) {
             stopIfIdle();
         }
         drainTimer_.expires_after(DrainCheckInterval);
@@ -240,7 +237,7 @@
     asio::steady_timer loadTrackerTimer_;
     asio::steady_timer drainTimer_;
     std::atomic<unsigned> requestsInProgress_ = 0;
-    TimePoint stoppedAt_{};
+    DrainSchedule drain_;
     bool isStopping_ = false;
     bool hasStoppedAccepting_ = false;
     bool hasReportedTraffic_ = false;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -103,7 +103,7 @@
 
 void GatewayServer::drain()
 {
-    context_.isDraining = true;
+    context_.drain.start(context_.now());
     for (const auto &[session, owner] : sessions_) {
         if (session->hasServedRequest()) {
             session->closeIfIdle();
@@ -117,6 +117,14 @@
     acceptor_.close(ignored);
 }
 
+void GatewayServer::cutRequests()
+{
+    context_.io.stop();
+    for (const auto &[session, owner] : sessions_) {
+        session->logCutRequest();
+    }
+}
+
 bool GatewayServer::stopIfIdle()
 {
     const bool isBusy = std::any_of(sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.first->isBusy(); });
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -29,6 +29,8 @@
     /// stopAccepting(), since the load balancer detects the stop only after some time.
     void drain();
     void stopAccepting();
+    /// Ends the I/O context, which cuts all requests in progress, and writes their log entries.
+    void cutRequests();
     /// Ends the I/O context, so that no further request is read, unless some caller waits for an answer. Returns whether it was ended.
     bool stopIfIdle();
     void remove(GatewaySession &session);
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -74,6 +74,7 @@
             co_return;
         }
         const auto call = std::make_shared<ForwardCall>(context_, connection_, parser.release(), receivedAt_);
+        call_ = call;
         watchCaller(call);
         isKept = co_await forward(call);
         if (isWatching_) {
@@ -87,7 +88,7 @@
 
 asio::awaitable<bool> GatewaySession::waitForRequest()
 {
-    const bool mustNotWait = context_.isDraining && hasServedRequest_;
+    const bool mustNotWait = context_.drain.isStarted() && hasServedRequest_;
     if (connection_->buffer().size() == 0 && !mustNotWait) {
         co_await waitWhileIdle();
     }
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -32,6 +32,13 @@
     {
         return !isIdle_ || (connection_->hasInput() && !connection_->isPeerClosed());
     }
+    /// Writes the log entry of the request in progress, if any, which the end of the process cuts.
+    void logCutRequest()
+    {
+        if (const auto call = call_.lock()) {
+            call->logCut();
+        }
+    }
     /// Whether the connection has been used for a request. The first request of a new connection may be on its way.
     bool hasServedRequest() const
     {
@@ -55,6 +62,7 @@
     GatewayContext &context_;
     GatewayServer &server_;
     ConnectionPtr connection_;
+    std::weak_ptr<ForwardCall> call_; // the latest
     TimePoint idleSince_;
     TimePoint receivedAt_{};
     bool isIdle_ = true;
--- a/tests/gateway/forward_call_test.cpp
+++ b/tests/gateway/forward_call_test.cpp
@@ -359,7 +359,7 @@
     FakeServer backend([](const TestMessage &, TestConnection &connection) { return connection.write(answer("q1", "x")); });
     start({backend.endpoint()});
     auto caller = connect();
-    runOnTrafficThread([this] { context_->isDraining = true; });
+    runOnTrafficThread([this] { context_->drain.start(context_->now()); });
     caller.write(request("/r/", "q1"));
     const auto result = caller.read();
     EXPECT_EQ(result->status(), 200);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -9,6 +9,7 @@
 {
     settings_.id = MemberId("gateway-1");
     settings_.zone = ZoneId("a");
+    settings_.drainTime = seconds(8);
     settings_.retryShare = 1;
     settings_.retrySlack = 100;
     settings_.retryWindow = seconds(10);
