Replace hanging watches when the store answers any call again

Cause: a watch that the silent store had swallowed just before its return was left to time out after 3.2 s, and failed calls were repeated as watches of full length, so that one was nearly always hanging. Each kind of objects found out by itself that the store was back.

Ruled out: a configuration that arrives in time and is applied late; it is applied with the answer.

Change: StoreReachability is fed by all calls of a gateway and by the notices of relays. When the store answers again, hanging watches and delays are replaced by a call that does not wait; after a failure the next call does not wait either.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -150,14 +150,12 @@
     metricsRegistry().count(CounterMetric::PlatformCalls, what);
     if (error) {
         metricsRegistry().count(CounterMetric::PlatformErrors, error.message());
-        mirror_.recordStoreResult(error);
-        if (std::exchange(isStoreReachable_, false)) {
-            logLine(LogLevel::Warning, "store lost", {{"call", what}, {"error", error.message()}});
-        }
-        return;
     }
-    mirror_.recordStoreResult({});
-    if (!std::exchange(isStoreReachable_, true)) {
+    const bool wasAnswering = mirror_.isStoreAnswering();
+    mirror_.recordStoreResult(error);
+    if (wasAnswering && !mirror_.isStoreAnswering()) {
+        logLine(LogLevel::Warning, "store lost", {{"call", what}, {"error", error.message()}});
+    } else if (!wasAnswering && mirror_.isStoreAnswering()) {
         logLine(LogLevel::Info, "store regained", {{"call", what}});
         polledAt_ = {};
     }
@@ -212,7 +210,7 @@
     if (isFollower) {
         return age < StartPollTime ? StartPollInterval : FollowerPollInterval;
     }
-    return isStoreReachable_ ? PollInterval : UnreachablePollInterval;
+    return mirror_.isStoreAnswering() ? PollInterval : UnreachablePollInterval;
 }
 
 /// Whether this gateway competes for the lease. In a large fleet only some do, so that not all write at the same time when it lapses.
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -71,7 +71,6 @@
 
     StoreMirror mirror_;
     bool isPublishPending_ = false; // a change was not published yet, since the mirror was not ready
-    bool isStoreReachable_ = true;
 
     BootTimeClock leaseClock_; // a lease expires while this VM is suspended
     LeaseKeeper lease_;
--- a/src/gateway/kind_watcher.cpp
+++ b/src/gateway/kind_watcher.cpp
@@ -89,6 +89,19 @@
     startNextCall();
 }
 
+void KindWatcher::confirm()
+{
+    // A list in flight is left alone: it may be long, and its calls time out soon.
+    const bool isDelayed = failures_ > 0 && !isListing_;
+    if (watchGeneration_ != generation_ && !isDelayed) {
+        return;
+    }
+    isConfirming_ = true;
+    ++generation_;
+    timer_.cancel();
+    startNextCall();
+}
+
 void KindWatcher::catchUp()
 {
     if (isSuspended_ && !isListing_ && !std::exchange(isCatchingUp_, true)) {
@@ -153,11 +166,13 @@
 void KindWatcher::watch()
 {
     const bool isConfirming = std::exchange(isConfirming_, false);
+    watchGeneration_ = generation_;
     store_.watch(settings_.kind, revision_, isSuspended_ || isConfirming ? ConfirmingWait : settings_.wait,
                  [self = shared_from_this(), generation = generation_](std::error_code error, const WatchResult &result) {
                      if (generation != self->generation_) {
                          return;
                      }
+                     self->watchGeneration_.reset();
                      if (error) {
                          self->onCallFailed(error);
                          return;
@@ -182,9 +197,12 @@
                  });
 }
 
+/// The next call does not wait for a change, so that it is answered or fails soon: a call that waits while the store returns may hang for
+/// seconds after that.
 void KindWatcher::onCallFailed(std::error_code error)
 {
     hooks_.onFailure(error);
+    isConfirming_ = true;
     scheduleNextCall(std::min(settings_.maxRetryDelay, settings_.retryDelay * (1U << std::min(failures_, MaxDoublings))));
     ++failures_;
 }
--- a/src/gateway/kind_watcher.h
+++ b/src/gateway/kind_watcher.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -48,6 +49,9 @@
     bool suspend();
     /// Watches again, from the known revision. The first call does not wait for a change, so that its answer confirms what is known.
     void resume();
+    /// The store answers again after a failure: a watch call in flight, which may have been lost meanwhile, and the delay after a failed call
+    /// are replaced by a call that does not wait for a change.
+    void confirm();
     /// While suspended: fetches the changes since the known revision from the store once.
     void catchUp();
     /// While suspended: the changes up to @p revision are known from elsewhere.
@@ -116,6 +120,7 @@
     bool isListStale_ = false;
     bool isConfirming_ = false; // the next watch call does not wait
     unsigned failures_ = 0;
+    std::optional<std::uint64_t> watchGeneration_; // of the watch call in flight
     std::uint64_t generation_ = 0; // of the current chain of calls; answers to calls of earlier chains are ignored
 };
 
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -115,7 +115,7 @@
     };
     hooks.onNotice = [this](const ChangeNotice &notice) {
         // The relay receives answers from the store, so an earlier failure of this gateway's own calls no longer counts.
-        registry_.recordStoreAnswer(clock_.now());
+        recordStoreAnswer();
         if (notice.remainingDeferral.count() > 0) {
             registry_.deferRemovalsUntil(clock_.now() + notice.remainingDeferral);
         }
@@ -196,9 +196,19 @@
 void StoreMirror::recordStoreResult(std::error_code error)
 {
     if (error) {
+        reachability_.recordFailure();
         registry_.recordStoreFailure();
     } else {
-        registry_.recordStoreAnswer(clock_.now());
+        recordStoreAnswer();
+    }
+}
+
+void StoreMirror::recordStoreAnswer()
+{
+    registry_.recordStoreAnswer(clock_.now());
+    if (reachability_.recordAnswer()) {
+        configWatcher_->confirm();
+        serverWatcher_->confirm();
     }
 }
 
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -4,6 +4,7 @@
 #include "gateway/fleet_platform.h"
 #include "gateway/kind_watcher.h"
 #include "gateway/server_registry.h"
+#include "gateway/store_reachability.h"
 #include "gateway/store_watch_state.h"
 
 #include <boost/asio/io_context.hpp>
@@ -45,7 +46,13 @@
     void setPlan(const RelayPlan &plan, bool isLeaseHolder);
     /// Starts and ends watching the store, sends heartbeats, and asks for missing changes.
     void tick(bool isLeaseHolder);
+    /// A call of this gateway to the store, for whatever purpose, was answered or failed with @p error. When the store answers again, all that is
+    /// followed is confirmed at once.
     void recordStoreResult(std::error_code error);
+    bool isStoreAnswering() const
+    {
+        return reachability_.isAnswering();
+    }
     /// Lists the servers again.
     void relistServers();
     std::uint64_t serverListCount() const
@@ -94,6 +101,7 @@
     /// The store answered a call for the configuration: a gateway that probed it watches the servers too.
     void onConfigAnswer();
     void confirmIfCurrent();
+    void recordStoreAnswer();
     void fetchMissing();
     /// Decodes and applies a configuration if it is newer. Returns whether it was.
     bool applyConfig(std::uint64_t objectVersion, const StoredObject &object);
@@ -107,6 +115,7 @@
     std::shared_ptr<KindWatcher> serverWatcher_;
     ChangeRelay relay_;
     ServerRegistry registry_;
+    StoreReachability reachability_;
     ServiceConfigPtr config_;
     std::uint64_t configVersion_ = 0; // object version of the configuration
     std::uint64_t appliedRevision_ = 0; // all changes of servers up to it are applied
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -18,12 +18,18 @@
 
 constexpr Duration Tick = milliseconds(50);
 
-/// Counts the calls by kind of object.
+/// Counts the calls by kind of object. Watch calls of one kind may hang, as calls do that a silent store has swallowed.
 class CountingStore : public MemoryObjectStore
 {
 public:
     using MemoryObjectStore::MemoryObjectStore;
 
+    /// Watch calls for @p kind that are made from now on are never answered, those for "" are not affected.
+    void swallowWatches(std::string kind)
+    {
+        swallowedKind_ = std::move(kind);
+    }
+
     void list(std::string_view kind, ListHandler handler) override
     {
         ++callsByKind[std::string(kind)];
@@ -32,10 +38,17 @@
     void watch(std::string_view kind, std::uint64_t afterRevision, Duration wait, WatchHandler handler) override
     {
         ++callsByKind[std::string(kind)];
-        MemoryObjectStore::watch(kind, afterRevision, wait, std::move(handler));
+        lastWaitByKind[std::string(kind)] = wait;
+        if (kind != swallowedKind_) {
+            MemoryObjectStore::watch(kind, afterRevision, wait, std::move(handler));
+        }
     }
 
     std::map<std::string, unsigned> callsByKind;
+    std::map<std::string, Duration> lastWaitByKind;
+
+private:
+    std::string swallowedKind_;
 };
 
 class FakePlatform : public FleetPlatform
@@ -177,4 +190,47 @@
     EXPECT_TRUE(mirror_.isReady());
 }
 
+/// A gateway of a small fleet, which watches the store itself.
+class DirectStoreMirrorTest : public StoreMirrorTest
+{
+protected:
+    DirectStoreMirrorTest()
+    {
+        mirror_.setPlan(RelayPlan({MemberId("self"), ZoneId("a"), {"127.0.0.1", 2}, {"127.0.0.1", port_}, 20}, {}), false);
+        mirror_.start(false);
+        runUntil([this] { return mirror_.isReady(); });
+    }
+};
+
+// Guards against an old configuration in force for seconds after an outage of the store: the watch call for it, which the silent store had
+// swallowed, was left to time out although the store answered other calls again.
+TEST_F(DirectStoreMirrorTest, hangingWatchIsReplacedWhenTheStoreAnswersAnotherCall)
+{
+    store_.swallowWatches("config");
+    store_.endWatches();
+    runFor(Tick);
+    const auto before = mirror_.config()->version;
+    store_.put("config", "main", R"({"new":1})", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
+    runFor(2 * Tick);
+    ASSERT_EQ(mirror_.config()->version, before);
+    store_.swallowWatches("");
+    mirror_.recordStoreResult(std::make_error_code(std::errc::timed_out));
+    runFor(4 * Tick);
+    EXPECT_GT(mirror_.config()->version, before);
+}
+
+// Guards against a call that waits for a change while the store is unavailable: it hangs for seconds when the store returns meanwhile.
+TEST_F(DirectStoreMirrorTest, callsToAnUnavailableStoreDoNotWaitForChanges)
+{
+    constexpr Duration ShortWait = milliseconds(10);
+    ASSERT_GT(store_.lastWaitByKind["config"], ShortWait);
+    store_.setDown(true);
+    runFor(seconds(1));
+    EXPECT_LE(store_.lastWaitByKind["config"], ShortWait);
+    EXPECT_LE(store_.lastWaitByKind["servers"], ShortWait);
+    store_.setDown(false);
+    runFor(seconds(1));
+    EXPECT_GT(store_.lastWaitByKind["config"], ShortWait);
+}
+
 }
