Do not defer removals because of calls from before the latest answer

Cause: a call that the silent store had swallowed failed seconds after the store had answered others; the failure was taken for a new outage, and removals were deferred anew from there.

Ruled out: the deferral itself. Sound servers have two seconds to register again.

Change: a failed call reports the time since it was sent, and one that was sent before the latest answer, or the latest notice of a relay, counts for nothing.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -66,15 +66,15 @@
               platform,
               {.onChange = [this] { publishIfChanged(); },
                .onStoreResult =
-                   [this](std::string_view what, std::error_code error) {
-                       recordStoreResult(what, error);
+                   [this](std::string_view what, std::error_code error, Duration callTime) {
+                       recordStoreResult(what, error, callTime);
                    }})
     , lease_(platform.store(),
              leaseClock_,
              platform.daemonKind(),
              ControlLease(settings.id, process),
              LeaseKeeper::Settings{.firstTakeDelay = firstLeaseDelay(settings.id)},
-             [this](std::error_code error) { recordStoreResult("lease", error); })
+             [this](std::error_code error, Duration callTime) { recordStoreResult("lease", error, callTime); })
     , controller_(ReplicaControllerSettings{.stallTime = settings.stallTime})
 {
 }
@@ -145,14 +145,14 @@
     }
 }
 
-void FleetControl::recordStoreResult(std::string_view what, std::error_code error)
+void FleetControl::recordStoreResult(std::string_view what, std::error_code error, Duration callTime)
 {
     metricsRegistry().count(CounterMetric::PlatformCalls, what);
     if (error) {
         metricsRegistry().count(CounterMetric::PlatformErrors, error.message());
     }
     const bool wasAnswering = mirror_.isStoreAnswering();
-    mirror_.recordStoreResult(error);
+    mirror_.recordStoreResult(error, callTime);
     if (wasAnswering && !mirror_.isStoreAnswering()) {
         logLine(LogLevel::Warning, "store lost", {{"call", what}, {"error", error.message()}});
     } else if (!wasAnswering && mirror_.isStoreAnswering()) {
@@ -247,10 +247,11 @@
 void FleetControl::pollDaemons()
 {
     isPolling_ = true;
-    polledAt_ = clock_.now();
-    platform_.store().listStale(platform_.daemonKind(), [this](std::error_code error, const ListResult &list) {
+    const auto sentAt = clock_.now();
+    polledAt_ = sentAt;
+    platform_.store().listStale(platform_.daemonKind(), [this, sentAt](std::error_code error, const ListResult &list) {
         isPolling_ = false;
-        recordStoreResult("daemons", error);
+        recordStoreResult("daemons", error, clock_.now() - sentAt);
         if (!error) {
             applyDaemons(list);
         }
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -47,7 +47,7 @@
     }
 
 private:
-    void recordStoreResult(std::string_view what, std::error_code error);
+    void recordStoreResult(std::string_view what, std::error_code error, Duration callTime);
     void publishIfChanged();
 
     void tick();
--- a/src/gateway/kind_watcher.cpp
+++ b/src/gateway/kind_watcher.cpp
@@ -156,6 +156,7 @@
             self->startNextCall();
         }
     };
+    sentAt_ = clock_.now();
     if (isStale) {
         store_.listStale(settings_.kind, std::move(handler));
     } else {
@@ -167,6 +168,7 @@
 {
     const bool isConfirming = std::exchange(isConfirming_, false);
     watchGeneration_ = generation_;
+    sentAt_ = clock_.now();
     store_.watch(settings_.kind, revision_, isSuspended_ || isConfirming ? ConfirmingWait : settings_.wait,
                  [self = shared_from_this(), generation = generation_](std::error_code error, const WatchResult &result) {
                      if (generation != self->generation_) {
@@ -201,7 +203,7 @@
 /// seconds after that.
 void KindWatcher::onCallFailed(std::error_code error)
 {
-    hooks_.onFailure(error);
+    hooks_.onFailure(error, clock_.now() - sentAt_);
     isConfirming_ = true;
     scheduleNextCall(std::min(settings_.maxRetryDelay, settings_.retryDelay * (1U << std::min(failures_, MaxDoublings))));
     ++failures_;
--- a/src/gateway/kind_watcher.h
+++ b/src/gateway/kind_watcher.h
@@ -25,7 +25,8 @@
     struct Hooks {
         std::function<void(std::vector<StoredObject>)> onList; // called with the complete list
         std::function<void(std::span<const ObjectEvent>)> onEvents;
-        std::function<void(std::error_code)> onFailure; // called for each failed call; the next onList or onEvents ends the failure
+        /// Called for each failed call with the time since it was sent; the next onList or onEvents ends the failure.
+        std::function<void(std::error_code, Duration callTime)> onFailure;
     };
     struct Settings {
         std::string kind;
@@ -109,6 +110,8 @@
     Settings settings_;
     Hooks hooks_;
     boost::asio::steady_timer timer_;
+    SteadyClock clock_;
+    TimePoint sentAt_{}; // the latest call
     std::uint64_t revision_ = 0;
     std::uint64_t listCount_ = 0;
     bool mustList_ = true;
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -60,8 +60,9 @@
         return;
     }
     isReading_ = true;
-    lastReadAt_ = clock_.now();
-    store_.fetch(kind_, ObjectName, [this](std::error_code error, const StoredObject &object) {
+    const auto sentAt = clock_.now();
+    lastReadAt_ = sentAt;
+    store_.fetch(kind_, ObjectName, [this, sentAt](std::error_code error, const StoredObject &object) {
         isReading_ = false;
         const bool isOutdated = std::exchange(isReadOutdated_, false);
         const bool isAbsent = error == ResultCode::ObjectNotFound;
@@ -73,21 +74,21 @@
         if (!isOutdated && (isAbsent || !error)) {
             lease_.confirm();
         }
-        onResult_(isAbsent ? std::error_code() : error);
+        onResult_(isAbsent ? std::error_code() : error, clock_.now() - sentAt);
     });
 }
 
 void LeaseKeeper::write(const ControlLease::Write &write)
 {
     const auto condition = write.expectedVersion == 0 ? WriteCondition::ifAbsent() : WriteCondition::ifVersion(write.expectedVersion);
-    store_.put(kind_, ObjectName, encodeLease(write.record), condition, [this](std::error_code error, std::uint64_t version) {
+    store_.put(kind_, ObjectName, encodeLease(write.record), condition, [this, sentAt = clock_.now()](std::error_code error, std::uint64_t version) {
         if (error) {
             logLine(LogLevel::Warning, "lease write failed", {{"error", error.message()}});
             lease_.onWriteFailed();
         } else {
             lease_.onWriteSucceeded(version);
         }
-        onResult_(error == ResultCode::VersionConflict ? std::error_code() : error);
+        onResult_(error == ResultCode::VersionConflict ? std::error_code() : error, clock_.now() - sentAt);
     });
 }
 
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -24,9 +24,9 @@
         Duration holderReadRetryInterval{milliseconds(250)}; // same for the holder, which loses the lease if it cannot renew it
         Duration firstTakeDelay{}; // before a lease that was never held is taken, so that not all gateways of a new fleet write at once
     };
-    using ResultHook = std::function<void(std::error_code)>;
+    using ResultHook = std::function<void(std::error_code, Duration callTime)>;
 
-    /// @param onResult called after each call to the store with its error, if any.
+    /// @param onResult called after each call to the store with its error, if any, and the time since it was sent.
     LeaseKeeper(ObjectStore &store, const Clock &clock, std::string kind, ControlLease lease, Settings settings, ResultHook onResult);
 
     /// The lease was read, in a list of daemons or on its own. @p object is null when it does not exist.
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -69,8 +69,8 @@
         isConfigConfirmed_ = true;
         hooks_.onChange();
     };
-    hooks.onFailure = [this](std::error_code error) {
-        hooks_.onStoreResult("configuration", error);
+    hooks.onFailure = [this](std::error_code error, Duration callTime) {
+        hooks_.onStoreResult("configuration", error, callTime);
         configState_.recordFailure();
     };
     return hooks;
@@ -80,7 +80,7 @@
 {
     KindWatcher::Hooks hooks;
     hooks.onList = [this](const std::vector<StoredObject> &objects) {
-        hooks_.onStoreResult("servers", {});
+        hooks_.onStoreResult("servers", {}, {});
         applyServers(objects);
         appliedRevision_ = serverWatcher_->revision();
         serverState_.recordAnswer(clock_.now());
@@ -89,7 +89,7 @@
         hooks_.onChange();
     };
     hooks.onEvents = [this](std::span<const ObjectEvent> events) {
-        hooks_.onStoreResult("servers", {});
+        hooks_.onStoreResult("servers", {}, {});
         applyServerEvents(events);
         const auto from = std::exchange(appliedRevision_, serverWatcher_->revision());
         serverState_.recordAnswer(clock_.now());
@@ -97,8 +97,8 @@
         relay_.publishChanges(from, events, clock_.now());
         hooks_.onChange();
     };
-    hooks.onFailure = [this](std::error_code error) {
-        hooks_.onStoreResult("servers", error);
+    hooks.onFailure = [this](std::error_code error, Duration callTime) {
+        hooks_.onStoreResult("servers", error, callTime);
         serverState_.recordFailure();
     };
     return hooks;
@@ -193,20 +193,20 @@
     serverWatcher_->relist();
 }
 
-void StoreMirror::recordStoreResult(std::error_code error)
+void StoreMirror::recordStoreResult(std::error_code error, Duration callTime)
 {
-    if (error) {
-        reachability_.recordFailure();
-        registry_.recordStoreFailure();
-    } else {
+    if (!error) {
         recordStoreAnswer();
+    } else if (reachability_.recordFailure(clock_.now() - callTime)) {
+        registry_.recordStoreFailure();
     }
 }
 
 void StoreMirror::recordStoreAnswer()
 {
-    registry_.recordStoreAnswer(clock_.now());
-    if (reachability_.recordAnswer()) {
+    const auto now = clock_.now();
+    registry_.recordStoreAnswer(now);
+    if (reachability_.recordAnswer(now)) {
         configWatcher_->confirm();
         serverWatcher_->confirm();
     }
@@ -281,7 +281,7 @@
 
 void StoreMirror::onConfigAnswer()
 {
-    hooks_.onStoreResult("configuration", {});
+    hooks_.onStoreResult("configuration", {}, {});
     configState_.recordAnswer(clock_.now());
     if (std::exchange(isProbing_, false)) {
         serverWatcher_->resume();
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -26,8 +26,8 @@
 public:
     struct Hooks {
         std::function<void()> onChange;
-        /// Called after each call to the store with its error, if any.
-        std::function<void(std::string_view what, std::error_code error)> onStoreResult;
+        /// Called after each call to the store with its error, if any, and for a failed call the time since it was sent.
+        std::function<void(std::string_view what, std::error_code error, Duration callTime)> onStoreResult;
     };
 
     StoreMirror(boost::asio::io_context &io, const Clock &clock, FleetPlatform &platform, Hooks hooks);
@@ -46,9 +46,9 @@
     void setPlan(const RelayPlan &plan, bool isLeaseHolder);
     /// Starts and ends watching the store, sends heartbeats, and asks for missing changes.
     void tick(bool isLeaseHolder);
-    /// A call of this gateway to the store, for whatever purpose, was answered or failed with @p error. When the store answers again, all that is
-    /// followed is confirmed at once.
-    void recordStoreResult(std::error_code error);
+    /// A call of this gateway to the store, for whatever purpose, was answered, or failed with @p error @p callTime after it was sent. When the
+    /// store answers again, all that is followed is confirmed at once.
+    void recordStoreResult(std::error_code error, Duration callTime);
     bool isStoreAnswering() const
     {
         return reachability_.isAnswering();
--- a/src/gateway/store_reachability.h
+++ b/src/gateway/store_reachability.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <utility>
 
 namespace carawaypoint
@@ -10,14 +12,18 @@
 {
 public:
     /// A call was answered, or a relay that receives answers sent a notice. Returns whether the store answers again after a failure.
-    bool recordAnswer()
+    bool recordAnswer(TimePoint now)
     {
+        answeredAt_ = now;
         return !std::exchange(isAnswering_, true);
     }
-    /// A call failed. Returns whether the store counts as lost from now on.
-    bool recordFailure()
+    /// A call that was sent at @p sentAt failed. One that was sent before the latest answer may have been lost in an outage that is over, so it
+    /// counts for nothing. Returns whether it counts: the store is lost then.
+    bool recordFailure(TimePoint sentAt)
     {
-        return std::exchange(isAnswering_, false);
+        const bool isCurrent = sentAt >= answeredAt_;
+        isAnswering_ = isAnswering_ && !isCurrent;
+        return isCurrent;
     }
     bool isAnswering() const
     {
@@ -25,6 +31,7 @@
     }
 
 private:
+    TimePoint answeredAt_{};
     bool isAnswering_ = true;
 };
 
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -64,7 +64,7 @@
         hooks.onEvents = [this](std::span<const ObjectEvent> events) {
             events_ += events.size();
         };
-        hooks.onFailure = [](std::error_code) {
+        hooks.onFailure = [](std::error_code, Duration) {
         };
         watcher_ = std::make_shared<KindWatcher>(io_.get_executor(), store_, KindWatcher::Settings{.kind = "things", .wait = seconds(60)}, hooks);
         watcher_->start();
@@ -642,7 +642,7 @@
 {
     auto following = std::make_shared<KindWatcher>(io_.get_executor(), store_, KindWatcher::Settings{.kind = "things", .wait = seconds(60)},
                                                    KindWatcher::Hooks{[](const std::vector<StoredObject> &) {}, [](std::span<const ObjectEvent>) {},
-                                                                      [](std::error_code) {
+                                                                      [](std::error_code, Duration) {
                                                                       }});
     following->startFollowing();
     run();
@@ -654,7 +654,7 @@
     following->stop();
     auto alone = std::make_shared<KindWatcher>(io_.get_executor(), store_, KindWatcher::Settings{.kind = "things", .wait = seconds(60)},
                                                KindWatcher::Hooks{[](const std::vector<StoredObject> &) {}, [](std::span<const ObjectEvent>) {},
-                                                                  [](std::error_code) {
+                                                                  [](std::error_code, Duration) {
                                                                   }});
     alone->startFollowing();
     alone->resume();
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -48,7 +48,7 @@
         hooks.onEvents = [this](std::span<const ObjectEvent> events) {
             events_ += events.size();
         };
-        hooks.onFailure = [](std::error_code) {
+        hooks.onFailure = [](std::error_code, Duration) {
         };
         watcher_ = std::make_shared<KindWatcher>(io_.get_executor(), store_, KindWatcher::Settings{.kind = "things", .wait = seconds(60)}, hooks);
     }
@@ -98,7 +98,7 @@
 {
     FailingStore store(io_.get_executor());
     KindWatcher::Hooks hooks;
-    hooks.onFailure = [](std::error_code) {
+    hooks.onFailure = [](std::error_code, Duration) {
     };
     const auto watcher =
         std::make_shared<KindWatcher>(io_.get_executor(), store, KindWatcher::Settings{.kind = "things", .maxRetryDelay = milliseconds(300)}, hooks);
--- a/tests/gateway/lease_keeper_test.cpp
+++ b/tests/gateway/lease_keeper_test.cpp
@@ -27,7 +27,7 @@
 
     LeaseKeeper keeper(const std::string &name, Duration firstTakeDelay = {})
     {
-        return {store_, clock_, "daemons", ControlLease(MemberId(name), 1), {.firstTakeDelay = firstTakeDelay}, [](std::error_code) {
+        return {store_, clock_, "daemons", ControlLease(MemberId(name), 1), {.firstTakeDelay = firstTakeDelay}, [](std::error_code, Duration) {
                 }};
     }
 
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -116,8 +116,8 @@
                   clock_,
                   platform_,
                   {[] {},
-                   [this](std::string_view, std::error_code error) {
-                       mirror_.recordStoreResult(error);
+                   [this](std::string_view, std::error_code error, Duration callTime) {
+                       mirror_.recordStoreResult(error, callTime);
                    }})
     {
         store_.put("config", "main", "{}", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
@@ -214,7 +214,7 @@
     runFor(2 * Tick);
     ASSERT_EQ(mirror_.config()->version, before);
     store_.swallowWatches("");
-    mirror_.recordStoreResult(std::make_error_code(std::errc::timed_out));
+    mirror_.recordStoreResult(std::make_error_code(std::errc::timed_out), {});
     runFor(4 * Tick);
     EXPECT_GT(mirror_.config()->version, before);
 }
@@ -233,4 +233,29 @@
     EXPECT_GT(store_.lastWaitByKind["config"], ShortWait);
 }
 
+// Guards against a removed server that gets requests for seconds after an outage of the store: a call that the silent store had swallowed failed
+// only after the store had answered others, and removals were deferred anew from there.
+TEST_F(DirectStoreMirrorTest, lateFailureOfACallFromBeforeTheLatestAnswerDefersNoRemoval)
+{
+    ASSERT_EQ(mirror_.servers().size(), 1U);
+    runFor(Tick); // with answers
+    mirror_.recordStoreResult(std::make_error_code(std::errc::timed_out), seconds(3));
+    store_.remove("servers", "vm-1", WriteCondition::always(), [](std::error_code) {});
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().empty(); }, seconds(1));
+    EXPECT_TRUE(mirror_.servers().empty());
+}
+
+// Guards against removing running servers whose registrations lapsed in an outage: a call that was sent after the latest answer shows it.
+TEST_F(DirectStoreMirrorTest, failureOfALaterCallDefersRemovals)
+{
+    runFor(Tick);
+    mirror_.recordStoreResult(std::make_error_code(std::errc::timed_out), {});
+    store_.remove("servers", "vm-1", WriteCondition::always(), [](std::error_code) {});
+    runFor(seconds(1));
+    mirror_.takeChange();
+    EXPECT_EQ(mirror_.servers().size(), 1U);
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().empty(); }, seconds(3));
+    EXPECT_TRUE(mirror_.servers().empty());
+}
+
 }
