Follow the store until the process ends in a planned stop

What callers saw: nothing in a record. For up to 7.7 s after a SIGTERM, a request in progress that lost its server could be sent only to servers that were there when the signal came.

Cause: FleetControl::stop() ended the watches of the store and its tick at once.

Change: a stop ends the list of daemons, the lease and the replica controller; configuration and servers are followed until the process ends. The fake platform of the tests of the store mirror moves to a header of its own, which the new tests use too.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -37,7 +37,6 @@
 /// A new holder of the lease waits this long, so that the list shows the effects of its predecessor's last orders.
 constexpr Duration TermStartDelay = milliseconds(600);
 constexpr Duration LapsedMemberProbeInterval = seconds(2);
-constexpr Duration StopTimeout = milliseconds(600);
 /// Interval at which the holder of the lease takes over the load of the models from the traffic thread.
 constexpr Duration LoadInterval = milliseconds(300);
 constexpr std::string_view DaemonPrefix = "daemon.";
@@ -170,24 +169,18 @@
     isPublishPending_ = false;
     controller_.setConfig(mirror_.config());
     hooks_.onSnapshot(std::make_shared<const FleetSnapshot>(mirror_.config(), mirror_.servers()));
-    runReplicaController();
+    if (!isStopping_) {
+        runReplicaController();
+    }
 }
 
 void FleetControl::tick()
 {
-    if (isStopping_) {
-        return;
-    }
-    const auto now = clock_.now();
     publishIfChanged();
     mirror_.tick(lease_.isHeld());
-    if (now - polledAt_ >= pollInterval() && !isPolling_) {
-        pollDaemons();
+    if (!isStopping_) {
+        control(clock_.now());
     }
-    if (mirror_.isWatching() && mayCompeteForLease(now)) {
-        lease_.update();
-    }
-    runReplicaController();
     tickTimer_.expires_after(TickInterval);
     tickTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -196,6 +189,17 @@
     });
 }
 
+void FleetControl::control(TimePoint now)
+{
+    if (now - polledAt_ >= pollInterval() && !isPolling_) {
+        pollDaemons();
+    }
+    if (mirror_.isWatching() && mayCompeteForLease(now)) {
+        lease_.update();
+    }
+    runReplicaController();
+}
+
 Duration FleetControl::pollInterval() const
 {
     const auto age = clock_.now() - startedAt_;
@@ -348,15 +352,11 @@
     });
 }
 
-void FleetControl::stop(std::function<void()> done)
+void FleetControl::stop()
 {
-    if (std::exchange(isStopping_, true)) {
-        return;
+    if (!std::exchange(isStopping_, true)) {
+        lease_.release([] {});
     }
-    mirror_.stop();
-    tickTimer_.expires_after(StopTimeout);
-    tickTimer_.async_wait([done = std::move(done)](const boost::system::error_code &) { done(); });
-    lease_.release([this] { tickTimer_.cancel(); });
 }
 
 }
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -38,8 +38,9 @@
     void setLoad(FleetLoad load);
     /// A daemon found that no stream of @p head makes progress: probes the members of its replica.
     void onServerStalled(const VmId &head);
-    /// Releases the lease and calls @p done, also when the store does not answer within the timeout.
-    void stop(std::function<void()> done);
+    /// Releases the lease and gives no more orders. Configuration and servers are followed until the process ends, since requests in progress may
+    /// need another server.
+    void stop();
     /// Whether configuration and servers are known and current.
     bool isReady() const
     {
@@ -51,6 +52,8 @@
     void publishIfChanged();
 
     void tick();
+    /// The part of a tick that ends with a planned stop: the list of daemons, the lease and the replica controller.
+    void control(TimePoint now);
     void pollDaemons();
     void applyDaemons(const ListResult &list);
     PeerGateway self() const;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -183,7 +183,7 @@
         status_.setReady(false);
         logLine(LogLevel::Info, "graceful stop started", {{"requests_in_progress", requestsInProgress_.load()}});
         asio::post(context_.io, [this] { server_.drain(); });
-        fleet_.stop([] {});
+        fleet_.stop();
         awaitDrain();
     }
 
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -1,14 +1,13 @@
 // Tests when a gateway that follows the store through relays calls the store itself.
 
 #include "gateway/store_mirror.h"
-#include "objects/memory_object_store.h"
+#include "tests/gateway/fake_platform.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
-#include <map>
 
 namespace carawaypoint
 {
@@ -18,93 +17,6 @@
 
 constexpr Duration Tick = milliseconds(50);
 
-/// Counts the calls by kind of object. Watch calls of one kind may hang, as calls do that a silent store has swallowed.
-class CountingStore : public MemoryObjectStore
-{
-public:
-    using MemoryObjectStore::MemoryObjectStore;
-
-    /// Watch calls for @p kind that are made from now on are never answered, those for "" are not affected.
-    void swallowWatches(std::string kind)
-    {
-        swallowedKind_ = std::move(kind);
-    }
-
-    void list(std::string_view kind, ListHandler handler) override
-    {
-        ++callsByKind[std::string(kind)];
-        MemoryObjectStore::list(kind, std::move(handler));
-    }
-    void watch(std::string_view kind, std::uint64_t afterRevision, Duration wait, WatchHandler handler) override
-    {
-        ++callsByKind[std::string(kind)];
-        lastWaitByKind[std::string(kind)] = wait;
-        if (kind != swallowedKind_) {
-            MemoryObjectStore::watch(kind, afterRevision, wait, std::move(handler));
-        }
-    }
-
-    std::map<std::string, unsigned> callsByKind;
-    std::map<std::string, Duration> lastWaitByKind;
-
-private:
-    std::string swallowedKind_;
-};
-
-class FakePlatform : public FleetPlatform
-{
-public:
-    explicit FakePlatform(CountingStore &store)
-        : store_(store)
-    {
-    }
-
-    ObjectStore &store() override
-    {
-        return store_;
-    }
-    OrderClient &orders() override
-    {
-        std::abort(); // a StoreMirror sends no orders
-    }
-    std::string serverKind() const override
-    {
-        return "servers";
-    }
-    std::string configKind() const override
-    {
-        return "config";
-    }
-    std::string configName() const override
-    {
-        return "main";
-    }
-    std::string daemonKind() const override
-    {
-        return "daemons";
-    }
-    std::optional<BackendServer> decodeServer(const StoredObject &object) const override
-    {
-        BackendServer server;
-        server.id = VmId(object.name);
-        return server;
-    }
-    ServiceConfigPtr decodeConfig(const StoredObject &object) const override
-    {
-        auto config = std::make_shared<ServiceConfig>();
-        config->version = object.version;
-        return config;
-    }
-    const WireNames &wireNames() const override
-    {
-        return names_;
-    }
-
-private:
-    CountingStore &store_;
-    WireNames names_;
-};
-
 /// A gateway with slow links, in a fleet whose relays do not exist.
 class StoreMirrorTest : public testing::Test
 {
