Keep a request at a silent server until another one has begun to answer

What callers saw: a stream whose server was silent for a second and would have gone on was cut when no other server took it, the other one refused, or the retry budget was spent. A repeatable call was given up after 0.3 of its time for the same reasons.

Cause: the connection to the silent server was interrupted first, and only then it was decided whether the request may and can be sent elsewhere.

Ruled out: a request that a change of the configuration loses in the gateway; a call keeps the configuration under which it was admitted.

Change: while its server is silent, a repeatable request is also sent to another one, which takes over when it has begun to answer. The first server keeps it if it speaks before. A server that speaks again is used at once. A connection that was returned to the pool is no longer interrupted by the end of the call that used it.

--- a/src/gateway/backend_load_tracker.cpp
+++ b/src/gateway/backend_load_tracker.cpp
@@ -56,7 +56,9 @@
 {
     auto &backend = backends_[server];
     backend.quietTicks = 0;
-    backend.isStalled = false;
+    if (std::exchange(backend.isStalled, false)) {
+        backend.backoffUntil = {}; // it was only silent for a while
+    }
     backend.ticksSinceEvent = 0;
     backend.hadEvents = true;
 }
--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -15,14 +15,15 @@
 namespace carawaypoint
 {
 
-/// A request in progress at a backend server that can be sent to another server.
+/// A request in progress at a backend server that can be sent to another server too.
 class ReroutableCall
 {
 public:
     virtual ~ReroutableCall() = default;
     /// Whether the server has sent part of the response.
     virtual bool hasStarted() const = 0;
-    /// The server is stalled: continues the request at another server if its route allows that.
+    /// The server is silent: asks another server too, if the route allows that, and continues there once that one has begun to answer. Called
+    /// again while the silence lasts.
     virtual void reroute() = 0;
 };
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -3,6 +3,7 @@
 #include "core/time_units.h"
 #include "gateway/forward_call.h"
 #include "gateway/http_fields.h"
+#include "gateway/tracked_attempt.h"
 #include "observe/metrics.h"
 
 #include <boost/beast/http.hpp>
@@ -26,8 +27,8 @@
 constexpr Duration ProbeKeepAlive = seconds(1);
 /// Added to the deadline that the server was given, so that its own timeout response can arrive.
 constexpr Duration ResponseMargin = milliseconds(200);
-/// Share of the remaining time after which an idempotent request without a response is sent to another server.
-constexpr double RetryAfterShare = 0.3;
+/// Share of the remaining time after which an idempotent request without a response is sent to another server too.
+constexpr double StandbyShare = 0.3;
 /// Time for the body of a response which states that the request did not run.
 constexpr Duration RejectionBodyTimeout = milliseconds(50);
 constexpr unsigned MaxStaleResponses = 2;
@@ -35,73 +36,88 @@
 constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned MisdirectedRequest = 421; // the server is not the one that the request names
 
-/// Keeps a request in the load tracker while it exists, also when an exception ends its scope.
-class TrackedAttempt
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::attemptWithStandby(ServingTarget target)
 {
-public:
-    TrackedAttempt(BackendLoadTracker &tracker, const VmId &server, ReroutableCall *stream, unsigned &pendingPrefillTokens)
-        : tracker_(tracker)
-        , server_(server)
-        , stream_(stream)
-        , pendingPrefillTokens_(pendingPrefillTokens)
-    {
-        tracker_.recordRequestStart(server_, stream_, pendingPrefillTokens_);
+    auto end = co_await attempt(std::move(target));
+    while (standby_ && end != AttemptEnd::Answered && end != AttemptEnd::CallerLost) {
+        end = co_await continueAtStandby(end);
     }
-    TrackedAttempt(const TrackedAttempt &) = delete;
-    TrackedAttempt &operator=(const TrackedAttempt &) = delete;
-    ~TrackedAttempt()
+    dropStandby();
+    co_return end;
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::attempt(ServingTarget target)
+{
+    excluded_.push_back(target.server);
+    beginAttempt(target);
+    const auto startedAt = context_.now();
+    auto end = AttemptEnd::NotSent;
     {
-        tracker_.recordRequestEnd(server_, stream_, std::exchange(pendingPrefillTokens_, 0));
+        const TrackedAttempt tracked(context_.loadTracker, target.server, trackedStream(), pendingPrefillTokens_);
+        end = co_await connectAndExchange(target);
     }
-
-private:
-    BackendLoadTracker &tracker_;
-    const VmId &server_;
-    ReroutableCall *stream_;
-    unsigned &pendingPrefillTokens_;
-};
-
+    co_return co_await endAttempt(end, std::move(target), startedAt);
 }
 
-asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::attempt(ServingTarget target)
+void ForwardCall::beginAttempt(const ServingTarget &target)
 {
     entry_.server = target.server.str();
     entry_.replica = target.replica.str();
     entry_.attempts = sentAttempts_ + 1;
-    excluded_.push_back(target.server);
     isRerouting_ = false;
     hasAnswer_ = false;
     isConnectionLost_ = false;
     lostServerCrash_ = 0;
-    ReroutableCall *stream = route_->kind == CallKind::Stream ? this : nullptr;
-    pendingPrefillTokens_ = stream == nullptr ? 0 : promptTokens();
-    const auto attemptStartedAt = context_.now();
-    auto end = AttemptEnd::NotSent;
-    {
-        const TrackedAttempt tracked(context_.loadTracker, target.server, stream, pendingPrefillTokens_);
-        end = co_await connectAndExchange(target);
-    }
+    pendingPrefillTokens_ = trackedStream() == nullptr ? 0 : promptTokens();
+}
+
+/// Records the end of an attempt for the choice of servers.
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::endAttempt(AttemptEnd end, ServingTarget target, TimePoint startedAt)
+{
     if (end == AttemptEnd::Failed) {
         mayHaveRun_ = true;
-        if (!isCallerGone_ && !isRerouting_) {
+        // The load tracker knows of a silent server of streams already.
+        if (!isCallerGone_ && !(isRerouting_ && trackedStream() != nullptr)) {
             context_.loadTracker.recordFailure(target.server, context_.now());
-            if (!hasAnswer_ && isConnectionLost_) {
-                co_await checkLostServer(target);
-            }
+        }
+        if (!isCallerGone_ && !isRerouting_ && !hasAnswer_ && isConnectionLost_) {
+            co_await checkLostServer(target);
         }
     } else if (end == AttemptEnd::Answered) {
         context_.loadTracker.recordSuccess(target.server);
-        context_.demand.recordRequestEnd(serverPool(), context_.now() - attemptStartedAt);
+        context_.demand.recordRequestEnd(serverPool(), context_.now() - startedAt);
     }
     co_return end;
 }
 
-asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::connectAndExchange(ServingTarget target)
+/// This call as a stream that the load tracker can reroute; null for other kinds of requests.
+ReroutableCall *ForwardCall::trackedStream()
+{
+    return route_->kind == CallKind::Stream ? this : nullptr;
+}
+
+/// Time limit for the whole response of a server.
+Duration ForwardCall::responseTime() const
+{
+    return remaining() + ResponseMargin;
+}
+
+asio::awaitable<std::error_code> ForwardCall::connectTo(const ServingTarget &target, BackendLink &link)
 {
-    BackendLink link;
     const auto error = co_await context_.pool.acquire(target, std::min(ConnectTimeout, remaining()), link);
     if (error) {
         context_.loadTracker.recordFailure(target.server, context_.now());
+    }
+    co_return error;
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::connectAndExchange(ServingTarget target)
+{
+    BackendLink link;
+    const auto error = co_await connectTo(target, link);
+    if (error) {
         co_return AttemptEnd::NotSent;
     }
     if (isCallerGone_) {
@@ -110,11 +126,16 @@
     }
     activeLink_ = link;
     const auto end = co_await exchange(link, target);
-    isConnectionLost_ = isConnectionLost_ && !link.connection->isTimedOut();
-    activeLink_.reset();
+    releaseActiveLink();
     co_return end;
 }
 
+void ForwardCall::releaseActiveLink()
+{
+    isConnectionLost_ = isConnectionLost_ && activeLink_ && !activeLink_->connection->isTimedOut();
+    activeLink_.reset();
+}
+
 /// A connection that fails before an answer may be that of a server which the request has crashed. A server that accepts another connection
 /// was not lost.
 asio::awaitable<void> ForwardCall::checkLostServer(const ServingTarget &target)
@@ -147,12 +168,11 @@
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::exchange(BackendLink &link, ServingTarget target)
 {
     ++sentAttempts_;
-    auto limit = remaining() + ResponseMargin;
-    const bool mayRetryEarly = route_->kind == CallKind::Idempotent && sentAttempts_ < route_->maxAttempts;
-    if (mayRetryEarly) {
-        limit = std::min(limit, Duration(static_cast<std::int64_t>(static_cast<double>(remaining().count()) * RetryAfterShare)));
+    link.connection->limit(responseTime());
+    asio::steady_timer standbyTimer(context_.io);
+    if (route_->kind == CallKind::Idempotent) {
+        askAnotherServerAfter(Duration(static_cast<std::int64_t>(static_cast<double>(remaining().count()) * StandbyShare)), standbyTimer);
     }
-    link.connection->limit(limit);
     std::optional<Response> response;
     // GCC 12 does not short-circuit operands that contain co_await, so each step is a separate statement.
     bool isRead = co_await sendRequest(link, target);
@@ -169,8 +189,7 @@
     const auto &header = response->get();
     recordStatedLoad(header, target.server);
     recordStatements(header, target);
-    const bool isNotRun = header.result_int() == MisdirectedRequest || header.find(context_.names.notExecuted) != header.end();
-    if (isNotRun) {
+    if (isNotRun(header)) {
         // The body says nothing more, and another server can have the request meanwhile.
         link.connection->limit(RejectionBodyTimeout);
         if (co_await discardBody(link, *response)) {
@@ -180,22 +199,45 @@
         }
         co_return AttemptEnd::NotRun;
     }
-    const bool isSuccess = header.result_int() / 100 == 2;
-    const bool isSigned = header.find(context_.names.signature) != header.end();
-    if (isSuccess && !isSigned) {
+    // The caller may have received part of a successful response, which an error cannot continue.
+    const bool isLateError = isHeaderSent_ && header.result_int() / 100 != 2;
+    if (isUnsignedSuccess(header) || isLateError) {
         link.connection->close();
         co_return AttemptEnd::Failed;
     }
-    if (isHeaderSent_ && !isSuccess) {
-        // The caller has received part of a successful response, which an error cannot continue.
-        link.connection->close();
-        co_return AttemptEnd::Failed;
-    }
-    if (route_->kind == CallKind::Stream && isSuccess) {
-        co_return co_await relayStream(link, *response);
+    co_return co_await relayResponse(link, *response);
+}
+
+asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::relayResponse(BackendLink &link, Response &response)
+{
+    const auto status = response.get().result_int();
+    if (route_->kind == CallKind::Stream && status / 100 == 2) {
+        co_return co_await relayStream(link, response);
     }
-    recordAnswer(header.result_int() < 500 && !impliesNotRun(header.result_int()));
-    co_return co_await relayCompleteResponse(link, *response);
+    recordAnswer(status < 500 && !impliesNotRun(status));
+    co_return co_await relayCompleteResponse(link, response);
+}
+
+/// Calls reroute() after @p time. The destructor of @p timer prevents that.
+void ForwardCall::askAnotherServerAfter(Duration time, asio::steady_timer &timer)
+{
+    timer.expires_after(time);
+    timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->reroute();
+        }
+    });
+}
+
+/// Whether the response states that the server did not run the request.
+bool ForwardCall::isNotRun(const Response::value_type &header) const
+{
+    return header.result_int() == MisdirectedRequest || header.find(context_.names.notExecuted) != header.end();
+}
+
+bool ForwardCall::isUnsignedSuccess(const Response::value_type &header) const
+{
+    return header.result_int() / 100 == 2 && header.find(context_.names.signature) == header.end();
 }
 
 /// Uses the load that the server states in its response, if any. A server that refuses requests for another one states its own load.
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -21,8 +21,6 @@
 namespace
 {
 
-/// No attempt is started with less time than this until the deadline.
-constexpr Duration MinAttemptTime = milliseconds(20);
 constexpr unsigned MaxFailedConnects = 3;
 /// Larger configured priorities count as this one, so that two stages of each fit the range of the header.
 constexpr unsigned MaxConfiguredPriority = 3;
@@ -265,7 +263,7 @@
             if (target == nullptr) {
                 break;
             }
-            const auto end = co_await attempt(*target);
+            const auto end = co_await attemptWithStandby(*target);
             if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLost) {
                 isAnswered = true;
                 isKept = end == AttemptEnd::Answered && !isCloseAnnounced_ && !mustCloseCaller_;
@@ -336,7 +334,7 @@
         failWith(mayHaveRun_ ? ResultCode::ReplicaLost : ResultCode::BackendRefused, "the server did not take the request");
         retryAfter_ = deferralOfAllServers().value_or(RetryAfterServerLoss);
     } else {
-        failWith(ResultCode::ReplicaLost, isRerouting_ ? "the server is stalled" : "the server failed");
+        failWith(ResultCode::ReplicaLost, "the server failed");
     }
     if (lostServerCrash_ != 0 && context_.quarantine.isSuspect(traits_, lostServerCrash_)) {
         failWith(ResultCode::ReplicaLost, "servers were lost with such requests, so it is not sent to another one");
@@ -404,19 +402,10 @@
 void ForwardCall::abandon()
 {
     isCallerGone_ = true;
+    dropStandby();
     if (activeLink_) {
         activeLink_->connection->interrupt();
     }
 }
 
-void ForwardCall::reroute()
-{
-    const bool mayReroute = route_->isRepeatable() && sentAttempts_ < route_->maxAttempts && !isRerouting_;
-    if (!mayReroute || !activeLink_) {
-        return;
-    }
-    isRerouting_ = true;
-    activeLink_->connection->interrupt();
-}
-
 }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/request_traits.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <memory>
@@ -21,6 +22,9 @@
 ///
 /// A request that may have run is sent again only if its route allows that. A stream continues at another replica after the last
 /// complete event that was sent to the caller.
+///
+/// While a server is silent, a repeatable request is sent to another one too. The first server keeps it until the other one has begun to answer:
+/// silence alone ends no request.
 class ForwardCall : public std::enable_shared_from_this<ForwardCall>, public ReroutableCall
 {
 public:
@@ -59,6 +63,8 @@
         CallerLost, // the response could not be sent to the caller
     };
     using Response = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+    /// No attempt is started with less time than this until the deadline.
+    static constexpr Duration MinAttemptTime = milliseconds(20);
 
     bool admit();
     unsigned promptTokens() const;
@@ -70,7 +76,24 @@
     const ServingTarget *chooseTarget();
     void recordRejection(const ServerPool &pool);
 
+    struct Standby;
+
+    /// An attempt, and those at servers that are asked while its server is silent.
+    asio::awaitable<AttemptEnd> attemptWithStandby(ServingTarget target);
     asio::awaitable<AttemptEnd> attempt(ServingTarget target);
+    void beginAttempt(const ServingTarget &target);
+    asio::awaitable<AttemptEnd> endAttempt(AttemptEnd end, ServingTarget target, TimePoint startedAt);
+    asio::awaitable<void> runStandby(std::shared_ptr<Standby> standby);
+    asio::awaitable<bool> beginAtStandby(Standby &standby);
+    asio::awaitable<AttemptEnd> continueAtStandby(AttemptEnd end);
+    void dropStandby();
+    void askAnotherServerAfter(Duration time, asio::steady_timer &timer);
+    ReroutableCall *trackedStream();
+    Duration responseTime() const;
+    bool isNotRun(const Response::value_type &header) const;
+    bool isUnsignedSuccess(const Response::value_type &header) const;
+    void releaseActiveLink();
+    asio::awaitable<std::error_code> connectTo(const ServingTarget &target, BackendLink &link);
     asio::awaitable<AttemptEnd> connectAndExchange(ServingTarget target);
     asio::awaitable<AttemptEnd> exchange(BackendLink &link, ServingTarget target);
     void recordStatedLoad(const Response::value_type &header, const VmId &server);
@@ -78,6 +101,7 @@
     asio::awaitable<bool> readHeader(BackendLink &link, std::optional<Response> &response);
     asio::awaitable<bool> readBody(BackendLink &link, Response &response, std::string &body);
     asio::awaitable<bool> discardBody(BackendLink &link, Response &response);
+    asio::awaitable<AttemptEnd> relayResponse(BackendLink &link, Response &response);
     asio::awaitable<AttemptEnd> relayCompleteResponse(BackendLink &link, Response &response);
     asio::awaitable<AttemptEnd> relayStream(BackendLink &link, Response &response);
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
@@ -122,6 +146,7 @@
     bool isConnectionLost_ = false; // that of the latest attempt ended by itself
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
+    std::shared_ptr<Standby> standby_; // an attempt at another server while that of the latest one is silent
     MemoryBudget::Reservation buffered_; // response bytes that wait for more
     unsigned pendingPrefillTokens_ = 0; // prompt tokens of the current attempt until its first event
     unsigned sentAttempts_ = 0; // attempts that reached a server
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -72,6 +72,8 @@
 
 void ForwardCall::keepOrClose(BackendLink &link, Response &response)
 {
+    // The end of this call must not interrupt a connection that the pool may give to another one.
+    activeLink_.reset();
     link.connection->unlimit();
     const bool isLeaving = context_.serverStatements.isLeaving(link.server, link.serverStartedAt);
     // Bytes after a complete response belong to no request.
@@ -93,6 +95,9 @@
     }
     const auto status = response.get().result_int();
     keepOrClose(link, response);
+    if (status >= 500 && standby_) {
+        co_return AttemptEnd::Failed;
+    }
     if (status >= 500 && route_->isRepeatable() && sentAttempts_ < route_->maxAttempts && context_.retryBudget.tryTake(service_, context_.now())) {
         mayHaveRun_ = true;
         context_.loadTracker.recordFailure(VmId(entry_.server), context_.now());
@@ -157,6 +162,10 @@
             const auto batch = collectEvents(splitter);
             if (batch.hasData) {
                 recordAnswer(true);
+                // The server speaks again, unless the other one has begun to answer before.
+                if (!isRerouting_) {
+                    dropStandby();
+                }
             }
             bytesSinceProgress += count;
             if (batch.hasData || bytesSinceProgress >= EventGrowthBytes) {
