Attribute the loss of a server to requests that it had just begun to answer

Cause: the first event of a stream, and the header of another response, counted as the answer, cleared the evidence against the request, and a loss after it was not examined.

Ruled out: evidence that is shared too late; none was recorded.

Change: a stream clears its traits 0.5 s after its first event or when it is complete, any other response when it is complete. A loss before that is examined.

--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -53,7 +53,7 @@
 {
     const auto crash = makeCrashId(server.str(), startedAt);
     metricsRegistry().count(CounterMetric::CrashEvidence, "own");
-    logDecision("quarantine", request, "crash recorded", "the server was lost before it answered the request",
+    logDecision("quarantine", request, "crash recorded", "the server was lost before it answered the request, or just after it had begun",
                 {{"server", server.str()}, {"started_at", startedAt}, {"traits", toHex(traits)}});
     attribution_.recordCrash(crash, traits, now);
     writeChanges("own evidence");
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -18,7 +18,7 @@
     explicit CrashQuarantine(Duration time);
 
     void setTime(Duration time, TimePoint now);
-    /// The server @p server, started at @p startedAt, was lost before it answered @p request.
+    /// The server @p server, started at @p startedAt, was lost before it answered @p request, or just after it had begun.
     CrashId recordLostServer(const VmId &server, std::uint64_t startedAt, std::string_view request, std::span<const TraitId> traits, TimePoint now);
     void recordAnswer(std::span<const TraitId> traits, TimePoint now);
     void merge(const MemberId &source, std::span<const TraitEvidence> evidence, TimePoint now);
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -68,6 +68,7 @@
     entry_.attempts = sentAttempts_ + 1;
     isRerouting_ = false;
     hasAnswer_ = false;
+    firstDataAt_.reset();
     isConnectionLost_ = false;
     lostServerCrash_ = 0;
     pendingPrefillTokens_ = trackedStream() == nullptr ? 0 : promptTokens();
@@ -136,7 +137,7 @@
     activeLink_.reset();
 }
 
-/// A connection that fails before an answer may be that of a server which the request has crashed. A server that accepts another connection
+/// A connection that fails early in an answer may be that of a server which the request has crashed. A server that accepts another connection
 /// was not lost.
 asio::awaitable<void> ForwardCall::checkLostServer(const ServingTarget &target)
 {
@@ -157,7 +158,7 @@
     lostServerCrash_ = context_.quarantine.recordLostServer(target.server, target.startedAt, entry_.id, traits_, context_.now());
 }
 
-/// The server has begun to answer. Only @p isServed shows that its model bears the request: an overloaded server refuses without running it.
+/// The server has answered. Only @p isServed shows that its model bears the request: an overloaded server refuses without running it.
 void ForwardCall::recordAnswer(bool isServed)
 {
     if (!std::exchange(hasAnswer_, true) && isServed) {
@@ -214,7 +215,6 @@
     if (route_->kind == CallKind::Stream && status / 100 == 2) {
         co_return co_await relayStream(link, response);
     }
-    recordAnswer(status < 500 && !impliesNotRun(status));
     co_return co_await relayCompleteResponse(link, response);
 }
 
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -107,6 +107,7 @@
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
     asio::awaitable<bool> writeCaller(std::string bytes);
     void recordAnswer(bool isServed);
+    void recordStreamData();
     void recordStatements(const Response::value_type &header, const ServingTarget &target);
     asio::awaitable<void> checkLostServer(const ServingTarget &target);
     void keepOrClose(BackendLink &link, Response &response);
@@ -142,7 +143,8 @@
 
     std::vector<TraitId> traits_; // to which crashes of servers are attributed
     CrashId lostServerCrash_ = 0; // of the server of the latest attempt before it answered; 0 when it was not lost
-    bool hasAnswer_ = false; // the server of the latest attempt has begun to answer
+    bool hasAnswer_ = false; // the server of the latest attempt has shown that it bears the request
+    std::optional<TimePoint> firstDataAt_; // first event of the latest attempt
     bool isConnectionLost_ = false; // that of the latest attempt ended by itself
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t MaxEventBytes = std::size_t{512} * 1024;
 /// An incomplete event counts as progress when it grows by this much. A stalled server may send a few bytes now and then.
 constexpr std::size_t EventGrowthBytes = 1024;
+/// Time after its first event in which the loss of a server may be the effect of the stream's request: it runs in the first batches then.
+constexpr Duration StreamProofTime = milliseconds(500);
 /// The connection of a caller that accepts no bytes for this long is closed.
 constexpr Duration CallerWriteTimeout = seconds(5);
 /// Servers close idle connections after a keep-alive time that they may state in full seconds; the pool closes them before that.
@@ -46,6 +48,7 @@
         body.append(space.data(), space.size() - response.get().body().size);
         const bool isTooLarge = body.size() > MaxResponseBytes || !buffered_.resize(body.size());
         if ((error && error != http::error::need_buffer) || isTooLarge) {
+            isConnectionLost_ = isConnectionLost(error);
             buffered_.resize(0);
             co_return false;
         }
@@ -94,6 +97,7 @@
         co_return AttemptEnd::Failed;
     }
     const auto status = response.get().result_int();
+    recordAnswer(status < 500 && !impliesNotRun(status));
     keepOrClose(link, response);
     if (status >= 500 && standby_) {
         co_return AttemptEnd::Failed;
@@ -146,6 +150,16 @@
     return batch;
 }
 
+/// A request may crash its server just after the first event, so that only a stream that goes on for some time shows that the server bears it.
+void ForwardCall::recordStreamData()
+{
+    const auto now = context_.now();
+    firstDataAt_ = firstDataAt_.value_or(now);
+    if (now - *firstDataAt_ >= StreamProofTime) {
+        recordAnswer(true);
+    }
+}
+
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::relayStream(BackendLink &link, Response &response)
 {
     EventSplitter splitter;
@@ -161,7 +175,7 @@
             splitter.feed({space.data(), count});
             const auto batch = collectEvents(splitter);
             if (batch.hasData) {
-                recordAnswer(true);
+                recordStreamData();
                 // The server speaks again, unless the other one has begun to answer before.
                 if (!isRerouting_) {
                     dropStandby();
@@ -197,6 +211,7 @@
         link.connection->close();
         co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
     }
+    recordAnswer(true);
     keepOrClose(link, response);
     bool isWritten = true;
     if (!isHeaderSent_) {
--- a/src/routing/crash_attribution.h
+++ b/src/routing/crash_attribution.h
@@ -71,9 +71,9 @@
 public:
     explicit CrashAttribution(CrashAttributionSettings settings = {});
 
-    /// A server ended before it answered a request with @p traits.
+    /// A server ended before it answered a request with @p traits, or just after it had begun.
     void recordCrash(CrashId crash, std::span<const TraitId> traits, TimePoint now);
-    /// A server has answered a request with @p traits, at least in part.
+    /// A server has answered a request with @p traits, or so much of it that the request cannot be what crashes servers.
     void recordAnswer(std::span<const TraitId> traits, TimePoint now);
     /// Adds the evidence of another gateway.
     void merge(std::span<const TraitEvidence> evidence, TimePoint now);
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -47,13 +47,16 @@
         for (unsigned number = 0; number < count; ++number) {
             backends_.push_back(std::make_unique<FakeServer>([this, number](const TestMessage &message, TestConnection &connection) {
                 const bool isHarmful = (message.header("x-parts") + message.startLine).find(HarmfulPart) != std::string::npos;
+                const auto id = message.header("x-id");
+                const bool isStream = message.startLine.find("/s/") != std::string::npos;
                 if (isHarmful) {
                     ++crashes_;
+                    if (crashesAfterFirstEvent_) {
+                        connection.write(isStream ? eventStream(id, 1, 1, false) : answer(id, "xy").substr(0, answer(id, "xy").size() - 1));
+                    }
                     backends_[number]->stopListening();
                     return false;
                 }
-                const auto id = message.header("x-id");
-                const bool isStream = message.startLine.find("/s/") != std::string::npos;
                 return connection.write(isStream ? eventStream(id, 1, 2, true) : answer(id, "x"));
             }));
         }
@@ -74,6 +77,7 @@
     }
 
     std::atomic<int> crashes_ = 0;
+    bool crashesAfterFirstEvent_ = false; // servers begin to answer a harmful request before they end
 
 private:
     std::vector<std::unique_ptr<FakeServer>> backends_;
@@ -124,6 +128,56 @@
     EXPECT_EQ(send("/r/other", "").status(), 200);
 }
 
+// Guards against requests that crash one server after the other just after the first event: the event was taken for an answer, which cleared
+// the evidence.
+TEST_F(CrashQuarantineTest, requestsThatCrashServersAfterTheFirstEventAreRefused)
+{
+    crashesAfterFirstEvent_ = true;
+    startCrashingServers(12);
+    TestMessage refusal;
+    for (int number = 0; number < 8; ++number) {
+        refusal = send("/s/", "a1:40,dead:8,c" + std::to_string(number) + ":9");
+    }
+    EXPECT_LE(crashes_, 5);
+    EXPECT_EQ(refusal.status(), 503);
+    EXPECT_EQ(send("/s/", "a1:40,d:9").status(), 200);
+}
+
+// Guards against calls that crash servers in the middle of the response.
+TEST_F(CrashQuarantineTest, callsThatCrashServersInTheResponseAreRefused)
+{
+    crashesAfterFirstEvent_ = true;
+    startCrashingServers(12);
+    int status = 0;
+    for (int number = 0; number < 8; ++number) {
+        status = send("/r/dead", "").status();
+    }
+    EXPECT_EQ(status, 503);
+    EXPECT_LE(crashes_, 5);
+}
+
+// Guards against blaming a request whose stream has gone on for a while for the loss of its server.
+TEST_F(CrashQuarantineTest, longStreamIsNoSuspect)
+{
+    FakeServer *self = nullptr;
+    FakeServer backend([&self](const TestMessage &message, TestConnection &connection) {
+        const auto stream = eventStream(message.header("x-id"), 1, 2, true);
+        const auto half = stream.find("id: 2");
+        connection.write(stream.substr(0, half));
+        std::this_thread::sleep_for(milliseconds(600));
+        connection.write(stream.substr(half, stream.rfind("0\r\n\r\n") - half));
+        std::this_thread::sleep_for(milliseconds(50));
+        self->stopListening();
+        return false;
+    });
+    self = &backend;
+    start({backend.endpoint()});
+    send("/s/", "a:40,b:8");
+    std::vector<TraitEvidence> evidence;
+    runOnTrafficThread([this, &evidence] { evidence = context_->quarantine.evidenceForReport(context_->now()); });
+    EXPECT_TRUE(evidence.empty());
+}
+
 // Guards against blaming a request for a connection that a living server has reset.
 TEST_F(CrashQuarantineTest, resetConnectionOfALivingServerIsNoCrash)
 {
