Keep a link of the soak silent once it has lost bytes

The proxy dropped bytes while a link was cut and forwarded later ones of the same connection, which TCP never does. What comes after lost bytes is dropped too now, which is what a dead connection does; the check stays as it is.

--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -94,6 +94,7 @@
     auto &from = isForward ? link->caller : link->server;
     auto &to = isForward ? link->server : link->caller;
     std::array<char, 16384> buffer{};
+    bool isSilent = false; // bytes after lost ones never arrive
     while (true) {
         const auto [error, count] = co_await from.async_read_some(asio::buffer(buffer), Token);
         if (error == asio::error::eof) {
@@ -108,8 +109,8 @@
         if (fault_ == LinkFault::Delay) {
             co_await standins::sleepFor(LinkDelay);
         }
-        const bool isDropped = fault_ == LinkFault::DropAll || (fault_ == LinkFault::DropForward && isForward);
-        if (isDropped) {
+        isSilent = isSilent || fault_ == LinkFault::DropAll || (fault_ == LinkFault::DropForward && isForward);
+        if (isSilent) {
             continue;
         }
         const auto [writeError, written] = co_await asio::async_write(to, asio::buffer(buffer, count), Token);
