Let the soak stop gateways in series while slow streams are in progress

The soak did not find requests that are cut late in a planned stop: its streams lasted 0.3 s, one gateway was stopped, and interruptions counted for 3 s after the signal only. Half of the streams last 2.4 s now, up to three gateways are stopped 1.3 s apart, and interruptions count until a second after the drain time.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -46,7 +47,9 @@
 constexpr auto FaultPhaseTime = 6s;
 /// All guarantees must hold again this long after the last fault.
 constexpr auto RecoveryTime = 8s;
-constexpr auto CalmPhaseTime = 3s;
+constexpr auto CalmPhaseTime = 7s; // the drain time of the gateways and a second more
+constexpr std::size_t MaxStoppedGateways = 3;
+constexpr auto StopInterval = 1300ms; // between the signals to gateways that are stopped in turn
 constexpr auto ConfigApplyTime = 2200ms;
 constexpr double MinServedFraction = 0.95;
 
@@ -332,6 +335,18 @@
 
     /// Checks, without faults, that nearly all requests are served, that a configuration change is in force in time, and that a
     /// planned stop interrupts no request.
+    /// Stops gateways in turn, so that the stops overlap. Callers use them until they no longer accept connections.
+    asio::awaitable<void> stopGatewaysInSeries()
+    {
+        const std::size_t count = std::clamp<std::size_t>(gateways_.size() / 2, 1, MaxStoppedGateways);
+        const auto first = random_();
+        for (std::size_t number = 0; number < count; ++number) {
+            gateways_[(first + number) % gateways_.size()]->sendSignal(SIGTERM);
+            co_await standins::sleepFor(StopInterval);
+        }
+        co_await standins::sleepFor(CalmPhaseTime);
+    }
+
     asio::awaitable<void> runCalmPhase(unsigned round)
     {
         restartEndedGateways();
@@ -343,9 +358,7 @@
         callers_.takeCounts();
         callers_.expectReadService(service);
         callers_.expectNoInterruptions(true);
-        auto &stopped = randomGateway();
-        stopped.sendSignal(SIGTERM);
-        co_await standins::sleepFor(CalmPhaseTime);
+        co_await stopGatewaysInSeries();
         callers_.expectNoInterruptions(false);
         callers_.expectReadService("");
         const auto counts = callers_.takeCounts();
--- a/soak/model_servers.cpp
+++ b/soak/model_servers.cpp
@@ -24,6 +24,9 @@
 constexpr auto StagedLoadTime = 300ms; // for a model that is staged on the host
 constexpr auto LoadTime = 900ms; // for any other model
 constexpr auto EventInterval = 25ms;
+/// Of slow streams, which last so long that one sent late in a planned stop of its gateway may outlive it.
+constexpr auto SlowEventInterval = 200ms;
+constexpr unsigned SlowStreamShare = 2; // one of this many requests is slow
 constexpr std::uint16_t Port = 9000;
 
 std::uint64_t nowMs()
@@ -357,6 +360,14 @@
     co_await exchange.respond(200, "answer to " + request, headers);
 }
 
+/// Time between the events of a stream, by the number in the id of its request.
+std::chrono::milliseconds ModelServers::eventInterval(std::string_view request)
+{
+    const auto digits = request.find_first_of("0123456789");
+    const bool isSlow = digits != std::string_view::npos && std::stoul(std::string(request.substr(digits))) % SlowStreamShare == 0;
+    return isSlow ? SlowEventInterval : EventInterval;
+}
+
 boost::asio::awaitable<void> ModelServers::serveStream(Server &server, Exchange &exchange, std::string request)
 {
     const auto &names = platformWireNames();
@@ -383,7 +394,7 @@
             co_return;
         }
         co_await exchange.sendChunk("id: " + std::to_string(number) + "\ndata: " + request + " piece " + std::to_string(number) + "\n\n");
-        co_await standins::sleepFor(EventInterval);
+        co_await standins::sleepFor(eventInterval(request));
     }
     co_await exchange.endStream();
 }
--- a/soak/model_servers.h
+++ b/soak/model_servers.h
@@ -82,6 +82,7 @@
     boost::asio::awaitable<void> handle(Server &server, Exchange &exchange);
     boost::asio::awaitable<void> handleOrder(Server &server, Exchange &exchange);
     boost::asio::awaitable<void> handleRequest(Server &server, Exchange &exchange);
+    static std::chrono::milliseconds eventInterval(std::string_view request);
     boost::asio::awaitable<void> serveStream(Server &server, Exchange &exchange, std::string request);
     unsigned joinReplica(Server &server, const boost::json::value &order);
     boost::asio::awaitable<void> finishLoad(Server &server, std::uint64_t epoch, std::chrono::milliseconds loadTime);
