--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -49,7 +49,8 @@
      .low = 0.5,
      .high = 3600,
      .defaultText = "8s",
-     .description = "Time until the process ends after SIGTERM, of which all but the last 0.3s is for requests in progress. Must not exceed the time until the process is killed."},
+     .description = "Time until the process ends after SIGTERM, of which all but the last 0.3s is for requests in progress. Must not exceed the time until the "
+                    "process is killed."},
     {.key = "stall_time",
      .kind = ValueKind::Time,
      .low = 0.1,
--- a/tests/gateway/fleet_control_test.cpp
+++ b/tests/gateway/fleet_control_test.cpp
@@ -17,10 +17,16 @@
     FleetControlTest()
         : store_(io_.get_executor())
         , platform_(store_)
-        , control_(io_, settings(), clock_, 1, platform_,
+        , control_(io_,
+                   settings(),
+                   clock_,
+                   1,
+                   platform_,
                    {.onSnapshot = [this](FleetSnapshotPtr snapshot) { snapshot_ = std::move(snapshot); },
                     .onPeers = [](const std::vector<PeerGateway> &) {},
-                    .requestLoad = [] {}})
+                    .requestLoad =
+                        [] {
+                        }})
     {
         put("config", "main", "{}");
         put("servers", "vm-1", "{}");
