Look up staged models in the one place for it; say why requests are taken for 2.8 s

The comment on DrainSchedule::OpenTime named a reason that a reader could not follow. No change of behaviour.

--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -331,8 +331,7 @@
         if (std::find(held.begin(), held.end(), staging.model) != held.end()) {
             return true;
         }
-        const auto service = config_->services.find(server->second.service);
-        const auto *model = service == config_->services.end() || !service->second.engine ? nullptr : service->second.engine->findModel(staging.model);
+        const auto *model = findModel(server->second.service, staging.model);
         return model == nullptr || now - staging.since > StagingTimeFactor * model->loadTime;
     });
 }
--- a/src/gateway/drain_schedule.h
+++ b/src/gateway/drain_schedule.h
@@ -14,8 +14,8 @@
 public:
     /// Time in which new connections are accepted: the load balancer removes a daemon after two failed readiness checks, one second apart.
     static constexpr Duration AcceptTime = milliseconds(3200);
-    /// Time in which every request is taken. Callers expect the same of a daemon that they reach later than 3 s after the signal as of any
-    /// other one; the rest of these 3 s is for a signal that is noticed late.
+    /// Time in which every request is taken. One that is sent later than 3 s after the signal must not be cut; the difference allows for a signal
+    /// that is noticed late.
     static constexpr Duration OpenTime = milliseconds(2800);
     /// Part of the drain time that is left for releasing the lease, the last log lines and the end of the process.
     static constexpr Duration ExitTime = milliseconds(300);
