--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -333,8 +333,6 @@
         }
     }
 
-    /// Checks, without faults, that nearly all requests are served, that a configuration change is in force in time, and that a
-    /// planned stop interrupts no request.
     /// Stops gateways in turn, so that the stops overlap. Callers use them until they no longer accept connections.
     asio::awaitable<void> stopGatewaysInSeries()
     {
@@ -347,6 +345,8 @@
         co_await standins::sleepFor(CalmPhaseTime);
     }
 
+    /// Checks, without faults, that nearly all requests are served, that a configuration change is in force in time, and that
+    /// planned stops interrupt no request.
     asio::awaitable<void> runCalmPhase(unsigned round)
     {
         restartEndedGateways();
