Tell the deferral of removals as it is now in lists from a relay

What callers could see: in a fleet with relays, a gateway that starts after an outage of the store keeps sending requests to a removed server for up to 2.2 s longer than its relay does.

Cause: ChangeRelay keeps the encoded list of servers while the store's revision stays the same. The list also carries the rest of the relay's deferral and the version of the configuration, which change without a new revision, so that later gateways got those of the first answer. A list from before an outage told of no deferral at all.

Ruled out: heartbeats and single changes, which are made for each notice (makeNotice()); a deferral that ends early by a later, shorter one (ServerRegistry keeps the later end, so a wrong longer one stays).

Change: a kept list is sent only if it was encoded for the same revision and configuration, and no removals were or are deferred. During a deferral, at most 2.2 s after an outage, the list is encoded for each request; requests stay limited as before.

Evidence: three new tests of ChangeRelayTest.

--- a/src/gateway/change_relay.cpp
+++ b/src/gateway/change_relay.cpp
@@ -96,16 +96,23 @@
     return std::any_of(receivers.begin(), receivers.end(), [&endpoint](const PeerGateway &peer) { return peer.changes == endpoint; });
 }
 
+/// The remaining deferral passes with time, so that a list is encoded for each request while removals are deferred.
+bool ChangeRelay::EncodedList::isCurrent(const Known &now) const
+{
+    const bool isDeferring = known.remainingDeferral > Duration{} || now.remainingDeferral > Duration{};
+    return !datagrams.empty() && !isDeferring && known.revision == now.revision && known.configVersion == now.configVersion;
+}
+
 void ChangeRelay::sendList(const Known &known, const Endpoint &receiver)
 {
     if (servers_.isEmpty()) {
         return;
     }
-    if (encodedList_.datagrams.empty() || encodedList_.revision != known.revision) {
+    if (!encodedList_.isCurrent(known)) {
         auto list = servers_.notice(known.revision);
         list.configVersion = known.configVersion;
         list.remainingDeferral = known.remainingDeferral;
-        encodedList_ = {known.revision, feed_.encode(list)};
+        encodedList_ = {known, feed_.encode(list)};
     }
     feed_.sendDatagrams(encodedList_.datagrams, receiver);
 }
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -86,9 +86,12 @@
     ChangeHistory changes_;
     ConfigHistory configs_;
     ObjectList servers_;
+    /// A list for gateways that start, and what was known when it was encoded.
     struct EncodedList {
-        std::uint64_t revision = 0;
+        Known known;
         std::vector<std::vector<std::byte>> datagrams;
+
+        bool isCurrent(const Known &now) const;
     };
     EncodedList encodedList_; // after a restart of the fleet, all gateways of the zone ask for the same list
     RelayPlan plan_;
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -419,7 +419,10 @@
         hooks.isFollowing = [this] {
             return isFollowing;
         };
-        hooks.onNotice = [](const ChangeNotice &) {
+        hooks.onNotice = [this](const ChangeNotice &notice) {
+            if (notice.isList) {
+                lastList = {notice.toRevision, notice.configVersion, notice.remainingDeferral};
+            }
         };
         hooks.onChanges = [this](const ChangeNotice &notice) {
             known.revision = notice.toRevision;
@@ -458,6 +461,7 @@
     Endpoint address;
     std::vector<std::string> names;
     std::string config;
+    ChangeRelay::Known lastList; // what the sender of the last list knew
     unsigned storeCalls = 0;
 };
 
@@ -483,6 +487,19 @@
         end.relay.setPlan(RelayPlan(peers_[index], others));
     }
 
+    /// The follower starts anew and asks for a list. Returns what the relay that sent it knew.
+    ChangeRelay::Known restartFollower()
+    {
+        follower_.known = {};
+        follower_.names.clear();
+        follower_.relay.requireNotice();
+        for (int round = 0; round < 200 && follower_.names.empty(); ++round) {
+            runFor(milliseconds(10));
+        }
+        EXPECT_FALSE(follower_.names.empty());
+        return follower_.lastList;
+    }
+
     void runFor(Duration time)
     {
         const auto end = clock_.now() + time;
@@ -602,6 +619,40 @@
     EXPECT_EQ(follower_.names.back(), "next");
 }
 
+// Guards against a gateway that starts after an outage of the store and defers removals longer than its relay: it would send requests to
+// servers that ended long before.
+TEST_F(ChangeRelayTest, listTellsTheDeferralOfRemovalsAsItIsNow)
+{
+    watcher_.known.isConfirmed = true;
+    watcher_.known.remainingDeferral = milliseconds(2200);
+    watcher_.relay.publishList(makeServers(3), clock_.now());
+    EXPECT_EQ(restartFollower().remainingDeferral, milliseconds(2200));
+    watcher_.known.remainingDeferral = milliseconds(300);
+    EXPECT_EQ(restartFollower().remainingDeferral, milliseconds(300));
+    watcher_.known.remainingDeferral = {};
+    EXPECT_EQ(restartFollower().remainingDeferral, Duration{});
+}
+
+// Guards against a gateway that starts just after an outage of the store and removes servers which had no time to register again.
+TEST_F(ChangeRelayTest, listFromBeforeAnOutageIsNotSentWhileRemovalsAreDeferred)
+{
+    watcher_.known.isConfirmed = true;
+    watcher_.relay.publishList(makeServers(3), clock_.now());
+    EXPECT_EQ(restartFollower().remainingDeferral, Duration{});
+    watcher_.known.remainingDeferral = milliseconds(2200);
+    EXPECT_EQ(restartFollower().remainingDeferral, milliseconds(2200));
+}
+
+// Guards against a gateway that starts after a change of the configuration and does not learn from the list that it misses it.
+TEST_F(ChangeRelayTest, listTellsTheConfigurationThatIsInForceNow)
+{
+    watcher_.known.isConfirmed = true;
+    watcher_.relay.publishList(makeServers(3), clock_.now());
+    EXPECT_EQ(restartFollower().configVersion, Config);
+    ++watcher_.known.configVersion;
+    EXPECT_EQ(restartFollower().configVersion, Config + 1);
+}
+
 // Guards against a list that may be seconds old, from a relay that has not heard from the store since it started.
 TEST_F(ChangeRelayTest, unconfirmedRelaySendsNoList)
 {
