Move the probes of members into a class of their own

No change of behaviour. FleetControl held the probes next to the store, the lease and the orders, and no test could reach them without a replica that serves. MemberProber needs the order client only.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -36,7 +36,6 @@
 constexpr Duration FirstLeaseJitter = milliseconds(500);
 /// A new holder of the lease waits this long, so that the list shows the effects of its predecessor's last orders.
 constexpr Duration TermStartDelay = milliseconds(600);
-constexpr Duration LapsedMemberProbeInterval = seconds(2);
 /// Interval at which the holder of the lease takes over the load of the models from the traffic thread.
 constexpr Duration LoadInterval = milliseconds(300);
 constexpr std::string_view DaemonPrefix = "daemon.";
@@ -75,6 +74,10 @@
              LeaseKeeper::Settings{.firstTakeDelay = firstLeaseDelay(settings.id)},
              [this](std::error_code error, Duration callTime) { recordStoreResult("lease", error, callTime); })
     , controller_(ReplicaControllerSettings{.stallTime = settings.stallTime})
+    , prober_(platform.orders(), [this](const VmId &server, std::uint64_t startedAt) {
+        controller_.recordUnresponsive(server, startedAt, clock_.now());
+        runReplicaController();
+    })
 {
 }
 
@@ -109,38 +112,7 @@
         return;
     }
     for (const auto &member : controller_.membersOf(head)) {
-        probe(member.id, member.address, member.startedAt, "its replica is stalled");
-    }
-}
-
-void FleetControl::probe(const VmId &server, const Endpoint &address, std::uint64_t startedAt, std::string_view reason)
-{
-    platform_.orders().probe(server, address, [this, server, startedAt, reason](const ProbeAnswer &answer) {
-        logDecision("placement", server.str(), answer.isAnswered ? "answered" : "silent", reason, {{"pace", answer.pace}});
-        if (!answer.isAnswered) {
-            controller_.recordUnresponsive(server, startedAt, clock_.now());
-            runReplicaController();
-        }
-    });
-}
-
-/// A member whose registration lapsed may only have lost the connection to the store. Its replica is kept as long as it answers.
-void FleetControl::probeLapsedMembers(TimePoint now)
-{
-    const auto &servers = mirror_.servers();
-    std::erase_if(lastProbeAt_, [&servers](const auto &entry) {
-        const auto found = servers.find(entry.first);
-        return found == servers.end() || !found->second.isRegistrationLapsed;
-    });
-    for (const auto &[id, server] : servers) {
-        if (!server.isRegistrationLapsed) {
-            continue;
-        }
-        const auto [entry, isNew] = lastProbeAt_.emplace(id, now);
-        if (isNew || now - entry->second >= LapsedMemberProbeInterval) {
-            entry->second = now;
-            probe(id, server.address, server.startedAt, "its registration lapsed");
-        }
+        prober_.probe(member.id, member.address, member.startedAt, "its replica is stalled");
     }
 }
 
@@ -323,7 +295,7 @@
     if (!isSettled) {
         return;
     }
-    probeLapsedMembers(now);
+    prober_.probeLapsed(mirror_.servers(), now);
     if (now - loadRequestedAt_ >= LoadInterval) {
         loadRequestedAt_ = now;
         hooks_.requestLoad();
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -4,6 +4,7 @@
 #include "fleet/replica_controller.h"
 #include "gateway/fleet_platform.h"
 #include "gateway/lease_keeper.h"
+#include "gateway/member_prober.h"
 #include "gateway/relay_plan.h"
 #include "gateway/store_mirror.h"
 
@@ -61,8 +62,6 @@
     Duration pollInterval() const;
     bool mayCompeteForLease(TimePoint now) const;
     void runReplicaController();
-    void probeLapsedMembers(TimePoint now);
-    void probe(const VmId &server, const Endpoint &address, std::uint64_t startedAt, std::string_view reason);
     void sendOrder(const ReplicaOrder &order);
 
     GatewaySettings settings_;
@@ -78,10 +77,10 @@
     BootTimeClock leaseClock_; // a lease expires while this VM is suspended
     LeaseKeeper lease_;
     ReplicaController controller_;
+    MemberProber prober_;
     std::uint64_t activeTerm_ = 0; // term in which the controller runs; 0 while it does not run
     std::uint64_t listCountAtTermStart_ = 0;
     TimePoint termStartedAt_{};
-    std::map<VmId, TimePoint> lastProbeAt_; // last probe of each server whose registration has lapsed
     bool isRegistered_ = false;
     bool isRegistering_ = false;
     bool isRecordMissing_ = false; // the list of daemons has no record of this one
--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -43,6 +43,20 @@
     std::string swallowedKind_;
 };
 
+/// No test sends orders.
+class UnusedOrderClient : public OrderClient
+{
+public:
+    void send(const ReplicaOrder &, Handler) override
+    {
+        std::abort();
+    }
+    void probe(const VmId &, const Endpoint &, ProbeHandler) override
+    {
+        std::abort();
+    }
+};
+
 class FakePlatform : public FleetPlatform
 {
 public:
@@ -57,7 +71,7 @@
     }
     OrderClient &orders() override
     {
-        std::abort(); // no test sends orders
+        return orders_;
     }
     std::string serverKind() const override
     {
@@ -94,6 +108,7 @@
 
 private:
     CountingStore &store_;
+    UnusedOrderClient orders_;
     WireNames names_;
 };
 
