Count a member as lost only when two probes in a row have no answer

What callers saw: a sound member of a replica that is silent for 1.4 s, or whose one probe is lost, costs the replica. Its streams move, and its capacity is missing until the weights are loaded again.

Cause: the replica controller probes the members of a stalled replica 0.8 s after its last event, and those whose registration lapsed, and one probe without an answer in 0.5 s was enough.

Ruled out: the gateways' own requests, which stay at a silent server since; lapsed registrations, which keep a member that answers.

Change: MemberProber sends a second probe when the first has no answer, and reports a loss when that has none either. An instance that is being probed is not probed again meanwhile: each gateway reports the stall. The tests' memberThatDoesNotAnswerIsLost, which expected a loss after one probe, became memberThatAnswersNeitherProbeIsLost: two without an answer, and no third.

Evidence: five tests of MemberProberTest, seen to fail before, pass.

--- a/src/gateway/member_prober.h
+++ b/src/gateway/member_prober.h
@@ -6,12 +6,15 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string_view>
+#include <utility>
 
 namespace carawaypoint
 {
 
-/// Asks members of replicas that may be lost whether they still answer. Used on the control thread only; handlers of the order client must not
+/// Asks members of replicas that may be lost whether they still answer. A sound server may be silent for a second or so, so that a member counts as
+/// lost when two probes in a row had no answer. Used on the control thread only; handlers of the order client must not
 /// be called after its destruction.
 class MemberProber
 {
@@ -21,13 +24,26 @@
 
     MemberProber(OrderClient &orders, LossHandler onLost);
 
+    /// Does nothing while this instance of the server is being probed already.
     void probe(const VmId &server, const Endpoint &address, std::uint64_t startedAt, std::string_view reason);
     /// Probes, at most every two seconds, each server whose registration has lapsed: it may only have lost the connection to the store.
     void probeLapsed(const ServerMap &servers, TimePoint now);
 
 private:
+    struct Probe {
+        VmId server;
+        Endpoint address;
+        std::uint64_t startedAt = 0;
+        std::string_view reason;
+        bool isRepeated = false; // the one before had no answer
+    };
+    using Instance = std::pair<VmId, std::uint64_t>; // server and start time
+
+    void send(const Probe &probe);
+
     OrderClient &orders_;
     LossHandler onLost_;
+    std::set<Instance> inProgress_;
     std::map<VmId, TimePoint> lapsedProbeAt_; // last probe of each server whose registration has lapsed
 };
 
