End the watchers of the store mirror with the mirror

No change in a running gateway. StoreMirror::stop() and its flag were left from the time when a planned stop froze the view of the store; only a test called them. The destructor stops the watchers now, whose calls in flight may outlive the mirror.

--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -150,6 +150,13 @@
     return hooks;
 }
 
+StoreMirror::~StoreMirror()
+{
+    // Calls to the store that are in flight keep the watchers, whose hooks use this object.
+    configWatcher_->stop();
+    serverWatcher_->stop();
+}
+
 std::error_code StoreMirror::open(const Endpoint &changes)
 {
     return relay_.open(changes);
@@ -181,13 +188,6 @@
     serverWatcher_->startSuspended();
 }
 
-void StoreMirror::stop()
-{
-    isStopping_ = true;
-    configWatcher_->stop();
-    serverWatcher_->stop();
-}
-
 void StoreMirror::relistServers()
 {
     serverWatcher_->relist();
@@ -243,7 +243,7 @@
 void StoreMirror::updateWatchMode(bool isLeaseHolder, TimePoint now)
 {
     const bool isActive = isWatching() || isProbing_;
-    if (mustWatch(isLeaseHolder, now) == isActive || isStopping_) {
+    if (mustWatch(isLeaseHolder, now) == isActive) {
         return;
     }
     if (isActive) {
@@ -290,7 +290,7 @@
 
 void StoreMirror::tick(bool isLeaseHolder)
 {
-    if (!isStarted_ || isStopping_) {
+    if (!isStarted_) {
         return;
     }
     const auto now = clock_.now();
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -31,13 +31,15 @@
     };
 
     StoreMirror(boost::asio::io_context &io, const Clock &clock, FleetPlatform &platform, Hooks hooks);
+    StoreMirror(const StoreMirror &) = delete;
+    StoreMirror &operator=(const StoreMirror &) = delete;
+    ~StoreMirror();
 
     /// Starts to receive change notices at @p changes.
     std::error_code open(const Endpoint &changes);
     /// Reads configuration and servers. The plan has to be set before.
     /// @param isNewFleet no gateway has held the lease yet, so that the other gateways may not be known.
     void start(bool isNewFleet);
-    void stop();
     /// Whether start() was called.
     bool isStarted() const
     {
@@ -123,7 +125,6 @@
     bool isConfigConfirmed_ = false;
     bool isServersConfirmed_ = false;
     bool isStarted_ = false;
-    bool isStopping_ = false;
     bool isProbing_ = false; // asks the store for the configuration only, until it answers
     TimePoint watchingSince_{};
     TimePoint followingSince_{};
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -43,11 +43,6 @@
         mirror_.setPlan(RelayPlan({MemberId("self"), ZoneId("a"), {"127.0.0.1", 2}, {"127.0.0.1", port_}, 20}, peers), false);
     }
 
-    ~StoreMirrorTest() override
-    {
-        mirror_.stop();
-    }
-
     void runFor(Duration time)
     {
         runUntil([] { return false; }, time);
