Attribute the loss of a server that was asked beside a silent one

What callers saw: a repeatable request that crashes servers after a while costs twice as many servers before it is refused, with the other callers' requests there.

Cause: while a server is silent, or after 0.3 of a call's time, the request is at a second server too. Only the end of the first one was examined for a crash; that of the second counted as a failure alone. Found beside it: both attempts wrote one flag for "the connection ended by itself", so that one could overwrite what the other had found.

Ruled out: the number of crashes that are needed (5 calls in sequence with one server each are refused in time); crashes that count once because they are close together (0.45 s apart here, the limit is 0.1 s).

Change: recordStandbyFailure() examines the second server as the first one, also when it ends after the header of a stream. The flag is part of BackendLink, which each attempt has its own of.

Evidence: CrashQuarantineTest.callsThatCrashServersLateAreRefused: 8 servers lost in 3 of 3 runs before (5 allowed), passes in 5 of 5 after.

--- a/src/gateway/backend_connection_pool.h
+++ b/src/gateway/backend_connection_pool.h
@@ -20,6 +20,13 @@
     VmId server;
     std::uint64_t serverStartedAt = 0;
     bool isReused = false;
+    bool isLost = false; // the connection ended by itself during a request
+
+    /// Whether the server may be lost, and not only slow: its connection ended before the time limit of the request.
+    bool mayLackServer() const
+    {
+        return isLost && !connection->isTimedOut();
+    }
 };
 
 /// Pool of idle connections to backend servers. Not thread-safe.
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -69,7 +69,7 @@
     isRerouting_ = false;
     hasAnswer_ = false;
     firstDataAt_.reset();
-    isConnectionLost_ = false;
+    mayLackServer_ = false;
     lostServerCrash_ = 0;
     pendingPrefillTokens_ = trackedStream() == nullptr ? 0 : promptTokens();
 }
@@ -83,7 +83,7 @@
         if (!isCallerGone_ && !(isRerouting_ && trackedStream() != nullptr)) {
             context_.loadTracker.recordFailure(target.server, context_.now());
         }
-        if (!isCallerGone_ && !isRerouting_ && !hasAnswer_ && isConnectionLost_) {
+        if (!isCallerGone_ && !isRerouting_ && !hasAnswer_ && mayLackServer_) {
             co_await checkLostServer(target);
         }
     } else if (end == AttemptEnd::Answered) {
@@ -127,14 +127,9 @@
     }
     activeLink_ = link;
     const auto end = co_await exchange(link, target);
-    releaseActiveLink();
-    co_return end;
-}
-
-void ForwardCall::releaseActiveLink()
-{
-    isConnectionLost_ = isConnectionLost_ && activeLink_ && !activeLink_->connection->isTimedOut();
     activeLink_.reset();
+    mayLackServer_ = link.mayLackServer();
+    co_return end;
 }
 
 /// A connection that fails early in an answer may be that of a server which the request has crashed. A server that accepts another connection
@@ -305,7 +300,7 @@
         message.content_length(request_.body().size());
     }
     const auto [error, bytes] = co_await http::async_write(link.connection->socket(), message, UseResult);
-    isConnectionLost_ = static_cast<bool>(error);
+    link.isLost = static_cast<bool>(error);
     co_return !error;
 }
 
@@ -319,7 +314,7 @@
         response->skip(request_.method() == http::verb::head);
         const auto [error, bytes] = co_await http::async_read_header(link.connection->socket(), link.connection->buffer(), *response, UseResult);
         const auto status = response->get().result_int();
-        isConnectionLost_ = isConnectionLost(error);
+        link.isLost = isConnectionLost(error);
         if (error || status == SwitchingProtocols) {
             co_return false;
         }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -85,6 +85,7 @@
     asio::awaitable<AttemptEnd> endAttempt(AttemptEnd end, ServingTarget target, TimePoint startedAt);
     asio::awaitable<void> runStandby(std::shared_ptr<Standby> standby);
     asio::awaitable<bool> beginAtStandby(Standby &standby);
+    asio::awaitable<void> recordStandbyFailure(const Standby &standby);
     asio::awaitable<AttemptEnd> continueAtStandby(AttemptEnd end);
     void dropStandby();
     void askAnotherServerAfter(Duration time, asio::steady_timer &timer);
@@ -92,7 +93,6 @@
     Duration responseTime() const;
     bool isNotRun(const Response::value_type &header) const;
     bool isUnsignedSuccess(const Response::value_type &header) const;
-    void releaseActiveLink();
     asio::awaitable<std::error_code> connectTo(const ServingTarget &target, BackendLink &link);
     asio::awaitable<AttemptEnd> connectAndExchange(ServingTarget target);
     asio::awaitable<AttemptEnd> exchange(BackendLink &link, ServingTarget target);
@@ -145,7 +145,7 @@
     CrashId lostServerCrash_ = 0; // of the server of the latest attempt before it answered; 0 when it was not lost
     bool hasAnswer_ = false; // the server of the latest attempt has shown that it bears the request
     std::optional<TimePoint> firstDataAt_; // first event of the latest attempt
-    bool isConnectionLost_ = false; // that of the latest attempt ended by itself
+    bool mayLackServer_ = false; // the connection of the latest attempt ended by itself
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
     std::shared_ptr<Standby> standby_; // an attempt at another server while that of the latest one is silent
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -48,7 +48,7 @@
         body.append(space.data(), space.size() - response.get().body().size);
         const bool isTooLarge = body.size() > MaxResponseBytes || !buffered_.resize(body.size());
         if ((error && error != http::error::need_buffer) || isTooLarge) {
-            isConnectionLost_ = isConnectionLost(error);
+            link.isLost = isConnectionLost(error);
             buffered_.resize(0);
             co_return false;
         }
@@ -201,7 +201,7 @@
             }
         }
         if (error && error != http::error::need_buffer) {
-            isConnectionLost_ = isConnectionLost(error);
+            link.isLost = isConnectionLost(error);
             link.connection->close();
             co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
         }
--- a/src/gateway/forward_standby.cpp
+++ b/src/gateway/forward_standby.cpp
@@ -82,9 +82,7 @@
         isRead = co_await readHeader(link, standby.response);
     }
     if (!isRead) {
-        if (!standby.isCancelled) {
-            context_.loadTracker.recordFailure(standby.target.server, context_.now());
-        }
+        co_await recordStandbyFailure(standby);
         co_return false;
     }
     const auto &header = standby.response->get();
@@ -98,11 +96,27 @@
     // A server may send the header of a stream before its first event.
     if (link.connection->buffer().size() == 0 && !standby.response->is_done()) {
         const auto [waitError] = co_await link.connection->socket().async_wait(asio::ip::tcp::socket::wait_read, UseResult);
-        co_return !waitError && !link.connection->isPeerClosed();
+        link.isLost = waitError || link.connection->isPeerClosed();
+        if (link.isLost) {
+            co_await recordStandbyFailure(standby);
+            co_return false;
+        }
     }
     co_return true;
 }
 
+/// The other server failed before it began to answer. The request may have crashed it, as it may the first one.
+asio::awaitable<void> ForwardCall::recordStandbyFailure(const Standby &standby)
+{
+    if (standby.isCancelled) {
+        co_return;
+    }
+    context_.loadTracker.recordFailure(standby.target.server, context_.now());
+    if (standby.link.mayLackServer()) {
+        co_await checkLostServer(standby.target);
+    }
+}
+
 /// Waits until the other server has begun to answer, and continues with its response. Otherwise returns @p end, that of the latest attempt.
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::continueAtStandby(AttemptEnd end)
 {
@@ -124,7 +138,8 @@
         activeLink_ = standby->link;
         standby->link.connection->limit(responseTime());
         end = co_await relayResponse(standby->link, *standby->response);
-        releaseActiveLink();
+        activeLink_.reset();
+        mayLackServer_ = standby->link.mayLackServer();
     }
     co_return co_await endAttempt(end, standby->target, startedAt);
 }
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -50,6 +50,7 @@
                 const auto id = message.header("x-id");
                 const bool isStream = message.startLine.find("/s/") != std::string::npos;
                 if (isHarmful) {
+                    std::this_thread::sleep_for(timeToCrash_);
                     ++crashes_;
                     if (crashesAfterFirstEvent_) {
                         connection.write(isStream ? eventStream(id, 1, 1, false) : answer(id, "xy").substr(0, answer(id, "xy").size() - 1));
@@ -77,6 +78,7 @@
     }
 
     std::atomic<int> crashes_ = 0;
+    Duration timeToCrash_{}; // from the arrival of a harmful request to the end of its server
     bool crashesAfterFirstEvent_ = false; // servers begin to answer a harmful request before they end
 
 private:
@@ -156,6 +158,20 @@
     EXPECT_LE(crashes_, 5);
 }
 
+// Guards against calls that crash servers after a while: by then a second server was asked, whose end was no evidence, so that twice as many
+// servers were lost.
+TEST_F(CrashQuarantineTest, callsThatCrashServersLateAreRefused)
+{
+    timeToCrash_ = milliseconds(700);
+    startCrashingServers(16);
+    int status = 0;
+    for (int number = 0; number < 6; ++number) {
+        status = send("/r/dead", "").status();
+    }
+    EXPECT_EQ(status, 503);
+    EXPECT_LE(crashes_, 5);
+}
+
 // Guards against blaming a request whose stream has gone on for a while for the loss of its server.
 TEST_F(CrashQuarantineTest, longStreamIsNoSuspect)
 {
