--- a/src/gateway/backend_connection_pool.h
+++ b/src/gateway/backend_connection_pool.h
@@ -23,7 +23,7 @@
     bool isLost = false; // the connection ended by itself during a request
 
     /// Whether the server may be lost, and not only slow: its connection ended before the time limit of the request.
-    bool mayLackServer() const
+    bool mayHaveLostServer() const
     {
         return isLost && !connection->isTimedOut();
     }
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -69,7 +69,7 @@
     isRerouting_ = false;
     hasAnswer_ = false;
     firstDataAt_.reset();
-    mayLackServer_ = false;
+    mayHaveLostServer_ = false;
     lostServerCrash_ = 0;
     pendingPrefillTokens_ = trackedStream() == nullptr ? 0 : promptTokens();
 }
@@ -83,7 +83,7 @@
         if (!isCallerGone_ && !(isRerouting_ && trackedStream() != nullptr)) {
             context_.loadTracker.recordFailure(target.server, context_.now());
         }
-        if (!isCallerGone_ && !isRerouting_ && !hasAnswer_ && mayLackServer_) {
+        if (!isCallerGone_ && !isRerouting_ && !hasAnswer_ && mayHaveLostServer_) {
             co_await checkLostServer(target);
         }
     } else if (end == AttemptEnd::Answered) {
@@ -128,7 +128,7 @@
     activeLink_ = link;
     const auto end = co_await exchange(link, target);
     activeLink_.reset();
-    mayLackServer_ = link.mayLackServer();
+    mayHaveLostServer_ = link.mayHaveLostServer();
     co_return end;
 }
 
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -145,7 +145,7 @@
     CrashId lostServerCrash_ = 0; // of the server of the latest attempt before it answered; 0 when it was not lost
     bool hasAnswer_ = false; // the server of the latest attempt has shown that it bears the request
     std::optional<TimePoint> firstDataAt_; // first event of the latest attempt
-    bool mayLackServer_ = false; // the connection of the latest attempt ended by itself
+    bool mayHaveLostServer_ = false; // the connection of the latest attempt ended by itself
     std::vector<VmId> excluded_;
     std::optional<BackendLink> activeLink_;
     std::shared_ptr<Standby> standby_; // an attempt at another server while that of the latest one is silent
--- a/src/gateway/forward_standby.cpp
+++ b/src/gateway/forward_standby.cpp
@@ -112,7 +112,7 @@
         co_return;
     }
     context_.loadTracker.recordFailure(standby.target.server, context_.now());
-    if (standby.link.mayLackServer()) {
+    if (standby.link.mayHaveLostServer()) {
         co_await checkLostServer(standby.target);
     }
 }
@@ -139,7 +139,7 @@
         standby->link.connection->limit(responseTime());
         end = co_await relayResponse(standby->link, *standby->response);
         activeLink_.reset();
-        mayLackServer_ = standby->link.mayLackServer();
+        mayHaveLostServer_ = standby->link.mayHaveLostServer();
     }
     co_return co_await endAttempt(end, standby->target, startedAt);
 }
--- a/src/gateway/member_prober.h
+++ b/src/gateway/member_prober.h
@@ -14,17 +14,17 @@
 {
 
 /// Asks members of replicas that may be lost whether they still answer. A sound server may be silent for a second or so, so that a member counts as
-/// lost when two probes in a row had no answer. Used on the control thread only; handlers of the order client must not
-/// be called after its destruction.
+/// lost when two probes in a row had no answer. Used on the control thread only. The order client must call no handler after the prober's
+/// destruction.
 class MemberProber
 {
 public:
-    /// Called for a server that did not answer, with the start time of its instance.
+    /// Called for a server that answered neither probe, with the start time of its instance.
     using LossHandler = std::function<void(const VmId &server, std::uint64_t startedAt)>;
 
     MemberProber(OrderClient &orders, LossHandler onLost);
 
-    /// Does nothing while this instance of the server is being probed already.
+    /// Does nothing while this instance of the server is being probed already. @p reason is a literal for the log.
     void probe(const VmId &server, const Endpoint &address, std::uint64_t startedAt, std::string_view reason);
     /// Probes, at most every two seconds, each server whose registration has lapsed: it may only have lost the connection to the store.
     void probeLapsed(const ServerMap &servers, TimePoint now);
