Revert the second probe of members: real losses are noticed too late

Cause: the loss of a member for good is noticed 0.5 s later, each time; its replica serves nothing meanwhile.

Change: one probe without an answer counts as a loss again.

--- a/src/gateway/member_prober.cpp
+++ b/src/gateway/member_prober.cpp
@@ -22,25 +22,10 @@
 
 void MemberProber::probe(const VmId &server, const Endpoint &address, std::uint64_t startedAt, std::string_view reason)
 {
-    if (inProgress_.emplace(server, startedAt).second) {
-        send({server, address, startedAt, reason});
-    }
-}
-
-void MemberProber::send(const Probe &probe)
-{
-    orders_.probe(probe.server, probe.address, [this, probe](const ProbeAnswer &answer) {
-        logDecision("placement", probe.server.str(), answer.isAnswered ? "answered" : "silent", probe.reason,
-                    {{"pace", answer.pace}, {"repeated", probe.isRepeated}});
-        if (!answer.isAnswered && !probe.isRepeated) {
-            auto repeated = probe;
-            repeated.isRepeated = true;
-            send(repeated);
-            return;
-        }
-        inProgress_.erase({probe.server, probe.startedAt});
+    orders_.probe(server, address, [this, server, startedAt, reason](const ProbeAnswer &answer) {
+        logDecision("placement", server.str(), answer.isAnswered ? "answered" : "silent", reason, {{"pace", answer.pace}});
         if (!answer.isAnswered) {
-            onLost_(probe.server, probe.startedAt);
+            onLost_(server, startedAt);
         }
     });
 }
