Look for the end of a connection in one place

No change of behaviour. The soak's callers had a copy of Connection::isPeerClosed() for plain sockets. isClosedByPeer() in core serves both.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,5 +1,6 @@
 #include "soak/callers.h"
 
+#include "core/connection.h"
 #include "platform/wire_names.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,9 +10,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <cerrno>
-#include <sys/socket.h>
-
 namespace carawaypoint::soak
 {
 
@@ -28,14 +26,6 @@
 /// A caller closes its connection when a gateway keeps a request beyond its deadline.
 constexpr auto CallTimeout = 5000ms;
 
-/// Returns whether the gateway has closed the connection, so that a request on it would never be read.
-bool isClosedByPeer(asio::ip::tcp::socket &socket)
-{
-    char byte = 0;
-    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 }
 
 Callers::Callers(asio::any_io_executor executor, ModelServers &servers, Violations &violations, std::uint64_t seed)
@@ -70,6 +60,7 @@
             continue;
         }
         bool isKeptAlive = true;
+        // A request on a connection that the gateway has closed would never be read.
         for (unsigned round = 0; isKeptAlive && round < 20 && !isStopped_ && !isClosedByPeer(socket); ++round) {
             const auto kind = static_cast<Kind>(random_() % 3);
             const std::string id = "q" + std::to_string(++nextId_);
--- a/src/core/connection.cpp
+++ b/src/core/connection.cpp
@@ -14,6 +14,13 @@
 constexpr auto CancelInterval = milliseconds(10);
 }
 
+bool isClosedByPeer(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 Connection::Connection(asio::ip::tcp::socket socket)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
@@ -83,13 +90,6 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-bool Connection::isPeerClosed()
-{
-    char byte = 0;
-    const auto received = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 void Connection::close()
 {
     boost::system::error_code ignored;
--- a/src/core/connection.h
+++ b/src/core/connection.h
@@ -20,6 +20,9 @@
 /// Completion token for coroutines that receive errors as values instead of exceptions.
 inline constexpr auto UseResult = asio::as_tuple(asio::use_awaitable);
 
+/// Whether the peer closed its side of the connection of @p socket. Does not block or consume bytes.
+bool isClosedByPeer(asio::ip::tcp::socket &socket);
+
 /// A TCP connection with a timeout that cancels operations but does not close the socket, so that an error response can still be
 /// sent.
 class Connection : public std::enable_shared_from_this<Connection>
@@ -56,7 +59,10 @@
     /// Whether the peer closed the connection or there are unread bytes. Does not block or consume bytes.
     bool hasInput();
     /// Whether the peer closed its side of the connection. Does not block or consume bytes.
-    bool isPeerClosed();
+    bool isPeerClosed()
+    {
+        return isClosedByPeer(socket_);
+    }
     void close();
 
 private:
