Ask the configuration for the engine and the models of a service

No change of behaviour. ServiceConfig::findEngine() and findModel() serve them; ReplicaController::findModel() is gone.

--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -163,18 +163,11 @@
     }
 }
 
-/// The model's specification; null when the configuration has no such model or service, for example no longer.
-const ModelSpec *ReplicaController::findModel(const ServiceId &service, const ModelId &model) const
-{
-    const auto found = config_->services.find(service);
-    return found == config_->services.end() || !found->second.engine ? nullptr : found->second.engine->findModel(model);
-}
-
 ReplicaPlan ReplicaController::makeAdoptedPlan(const ReplicaMembers &view, TimePoint now) const
 {
     ReplicaPlan plan{.id = view.id, .epoch = view.epoch, .service = view.service, .domain = view.domain, .model = view.model};
     plan.phaseSince = now;
-    const auto *model = findModel(view.service, view.model);
+    const auto *model = config_->findModel(view.service, view.model);
     const unsigned last = view.members.rbegin()->first;
     plan.members.resize(std::max(model == nullptr ? 1 : model->size, last + 1));
     for (const auto &[rank, server] : view.members) {
@@ -252,7 +245,7 @@
 
 void ReplicaController::updateJoining(ReplicaPlan &plan, const ServerMap &servers, TimePoint now)
 {
-    const auto *model = findModel(plan.service, plan.model);
+    const auto *model = config_->findModel(plan.service, plan.model);
     bool isReady = true;
     bool isLoading = false;
     for (auto &member : plan.members) {
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -109,7 +109,6 @@
 
     ServerMap withoutUnresponsive(const ServerMap &servers, TimePoint now);
     void adoptReportedReplicas(const ServerMap &servers, TimePoint now);
-    const ModelSpec *findModel(const ServiceId &service, const ModelId &model) const;
     ReplicaPlan makeAdoptedPlan(const ReplicaMembers &view, TimePoint now) const;
     void recordRegistrations(const ServerMap &servers, TimePoint now);
     void recordLastModels(const ServerMap &servers);
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -46,9 +46,8 @@
     const auto assigned = assignedServers();
     FreeByDomain free;
     for (const auto &[id, server] : servers) {
-        const auto service = config_->services.find(server.service);
-        if (service == config_->services.end() || !service->second.engine || server.isLeaving || server.isRegistrationLapsed || assigned.contains(id)
-            || !hasPossibleRank(server)) {
+        const bool hasEngine = config_->findEngine(server.service) != nullptr;
+        if (!hasEngine || server.isLeaving || server.isRegistrationLapsed || assigned.contains(id) || !hasPossibleRank(server)) {
             continue;
         }
         if (hasTraffic_ && now - registeredSince_.at(id) < settings_.minRegistrationAge) {
@@ -331,7 +330,7 @@
         if (std::find(held.begin(), held.end(), staging.model) != held.end()) {
             return true;
         }
-        const auto *model = findModel(server->second.service, staging.model);
+        const auto *model = config_->findModel(server->second.service, staging.model);
         return model == nullptr || now - staging.since > StagingTimeFactor * model->loadTime;
     });
 }
--- a/src/fleet/replica_moves.cpp
+++ b/src/fleet/replica_moves.cpp
@@ -153,16 +153,16 @@
 void ReplicaController::stageAlternatives(const ServerMap &servers, TimePoint now)
 {
     for (const auto &[id, plan] : plans_) {
-        const auto service = config_->services.find(plan.service);
-        if (plan.phase != PlanPhase::Serving || service == config_->services.end() || !service->second.engine) {
+        const auto *engine = config_->findEngine(plan.service);
+        if (plan.phase != PlanPhase::Serving || engine == nullptr) {
             continue;
         }
         // A host that keeps one model would lose its own, which it needs to rejoin its replica after a restart.
-        if (service->second.engine->stagedModelsPerHost < 2) {
+        if (engine->stagedModelsPerHost < 2) {
             continue;
         }
         const ModelSpec *alternative = nullptr;
-        for (const auto &model : service->second.engine->models) {
+        for (const auto &model : engine->models) {
             const bool isLargerShare = alternative == nullptr || model.share > alternative->share;
             alternative = model.id != plan.model && isLargerShare ? &model : alternative;
         }
--- a/src/fleet/replica_view.cpp
+++ b/src/fleet/replica_view.cpp
@@ -40,9 +40,7 @@
 {
     std::map<std::tuple<ServiceId, ReplicaId, std::uint64_t>, ReplicaMembers> views;
     for (const auto &[id, server] : servers) {
-        const auto service = config.services.find(server.service);
-        const bool hasEngine = service != config.services.end() && service->second.engine;
-        if (!server.membership || !hasEngine || !hasPossibleRank(server)) {
+        if (!server.membership || config.findEngine(server.service) == nullptr || !hasPossibleRank(server)) {
             continue;
         }
         auto &view = views[{server.service, server.membership->replica, server.membership->epoch}];
@@ -82,7 +80,7 @@
 void FleetSnapshot::addReplicas(const ServerMap &servers)
 {
     for (const auto &view : groupByReplica(servers, *config_)) {
-        const auto &engine = *config_->services.at(view.service).engine;
+        const auto &engine = *config_->findEngine(view.service);
         const auto *model = engine.findModel(view.model);
         const auto *head = view.head();
         if (model == nullptr || head == nullptr || head->membership->state != MembershipState::Open || !view.isComplete(model->size)) {
--- a/src/fleet/service_config.cpp
+++ b/src/fleet/service_config.cpp
@@ -65,6 +65,18 @@
     return found == customers_.end() ? nullptr : &found->second;
 }
 
+const EngineSpec *ServiceConfig::findEngine(const ServiceId &service) const
+{
+    const auto found = services.find(service);
+    return found == services.end() || !found->second.engine ? nullptr : &*found->second.engine;
+}
+
+const ModelSpec *ServiceConfig::findModel(const ServiceId &service, const ModelId &model) const
+{
+    const auto *engine = findEngine(service);
+    return engine == nullptr ? nullptr : engine->findModel(model);
+}
+
 std::size_t ServiceConfig::routeCount() const
 {
     std::size_t count = 0;
--- a/src/fleet/service_config.h
+++ b/src/fleet/service_config.h
@@ -107,6 +107,10 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     /// The customer with the API key @p key; null when there is none.
     const Customer *findCustomer(std::string_view key) const;
+    /// The engine of the service; null when it is a plain one or not configured.
+    const EngineSpec *findEngine(const ServiceId &service) const;
+    /// The specification of a model of the service; null when the configuration has no such model or service, for example no longer.
+    const ModelSpec *findModel(const ServiceId &service, const ModelId &model) const;
     std::size_t routeCount() const;
 
 private:
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -165,9 +165,7 @@
 
 ServerPool ForwardCall::serverPool() const
 {
-    const auto &services = snapshot_->config()->services;
-    const auto service = services.find(service_);
-    const bool hasEngine = service != services.end() && service->second.engine.has_value();
+    const bool hasEngine = snapshot_->config()->findEngine(service_) != nullptr;
     return {service_, hasEngine ? model_ : ModelId()};
 }
 
