Drop state and conditions that others already hold

No change of behaviour. The gateway's flag of a planned stop said what its drain schedule says. The question whether a request has prompt tokens to process was asked in two ways, once for each of its attempts; prefillTokens() answers it. An include without use is gone.

--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -12,7 +12,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 
 namespace carawaypoint
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -71,7 +71,7 @@
     firstDataAt_.reset();
     mayHaveLostServer_ = false;
     lostServerCrash_ = 0;
-    pendingPrefillTokens_ = trackedStream() == nullptr ? 0 : promptTokens();
+    pendingPrefillTokens_ = prefillTokens();
 }
 
 /// Records the end of an attempt for the choice of servers.
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -139,9 +139,12 @@
     return true;
 }
 
-/// The first number of the token usage header, which lists the tokens of the prompt and of the response.
-unsigned ForwardCall::promptTokens() const
+/// Prompt tokens that a server has to process before the first event of a stream: the first number of the token usage header. None for calls.
+unsigned ForwardCall::prefillTokens() const
 {
+    if (route_->kind != CallKind::Stream) {
+        return 0;
+    }
     const std::string_view usage = request_[context_.names.tokenUsage];
     return static_cast<unsigned>(parseNumber(usage.substr(0, usage.find(','))).value_or(0));
 }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -67,7 +67,7 @@
     static constexpr Duration MinAttemptTime = milliseconds(20);
 
     bool admit();
-    unsigned promptTokens() const;
+    unsigned prefillTokens() const;
     void parseTimes();
     const ServiceId &pickService() const;
     ServerPool serverPool() const;
--- a/src/gateway/forward_standby.cpp
+++ b/src/gateway/forward_standby.cpp
@@ -47,7 +47,7 @@
 asio::awaitable<void> ForwardCall::runStandby(std::shared_ptr<Standby> standby)
 {
     const auto self = shared_from_this();
-    unsigned pendingPrefillTokens = route_->kind == CallKind::Stream ? promptTokens() : 0;
+    unsigned pendingPrefillTokens = prefillTokens();
     const TrackedAttempt tracked(context_.loadTracker, standby->target.server, nullptr, pendingPrefillTokens);
     standby->hasBegun = co_await beginAtStandby(*standby);
     standby->hasEnded = true;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -82,7 +82,7 @@
         FleetControl::Hooks hooks;
         hooks.onSnapshot = [this](FleetSnapshotPtr snapshot) {
             asio::post(context_.io, [this, snapshot = std::move(snapshot)] { context_.snapshot = snapshot; });
-            status_.setReady(!isStopping_);
+            status_.setReady(!drain_.isStarted());
         };
         hooks.onPeers = [this](std::vector<PeerGateway> peers) {
             asio::post(context_.io, [this, peers = std::move(peers)] {
@@ -176,7 +176,7 @@
 
     void stop()
     {
-        if (std::exchange(isStopping_, true)) {
+        if (drain_.isStarted()) {
             return;
         }
         drain_.start(clock_.now());
@@ -238,7 +238,6 @@
     asio::steady_timer drainTimer_;
     std::atomic<unsigned> requestsInProgress_ = 0;
     DrainSchedule drain_;
-    bool isStopping_ = false;
     bool hasStoppedAccepting_ = false;
     bool hasReportedTraffic_ = false;
 };
