--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -77,6 +77,16 @@
         return caller.read().value_or(TestMessage());
     }
 
+    /// Sends @p count calls, one after the other, that crash their servers. Returns the status of the last one.
+    int sendHarmfulCalls(int count)
+    {
+        int status = 0;
+        for (int number = 0; number < count; ++number) {
+            status = send("/r/dead", "").status();
+        }
+        return status;
+    }
+
     std::atomic<int> crashes_ = 0;
     Duration timeToCrash_{}; // from the arrival of a harmful request to the end of its server
     bool crashesAfterFirstEvent_ = false; // servers begin to answer a harmful request before they end
@@ -121,11 +131,7 @@
 TEST_F(CrashQuarantineTest, repeatedRequestThatCrashesServersIsRefused)
 {
     startCrashingServers(10);
-    int status = 0;
-    for (int number = 0; number < 8; ++number) {
-        status = send("/r/dead", "").status();
-    }
-    EXPECT_EQ(status, 503);
+    EXPECT_EQ(sendHarmfulCalls(8), 503);
     EXPECT_LE(crashes_, 5);
     EXPECT_EQ(send("/r/other", "").status(), 200);
 }
@@ -150,11 +156,7 @@
 {
     crashesAfterFirstEvent_ = true;
     startCrashingServers(12);
-    int status = 0;
-    for (int number = 0; number < 8; ++number) {
-        status = send("/r/dead", "").status();
-    }
-    EXPECT_EQ(status, 503);
+    EXPECT_EQ(sendHarmfulCalls(8), 503);
     EXPECT_LE(crashes_, 5);
 }
 
@@ -164,11 +166,7 @@
 {
     timeToCrash_ = milliseconds(550);
     startCrashingServers(16);
-    int status = 0;
-    for (int number = 0; number < 6; ++number) {
-        status = send("/r/dead", "").status();
-    }
-    EXPECT_EQ(status, 503);
+    EXPECT_EQ(sendHarmfulCalls(6), 503);
     EXPECT_LE(crashes_, 5);
 }
 
