Choose targets by a sequence of rules instead of one function with eight parameters

Cause: BackendLoadTracker::choose() held stall detection, load limits, the preference of the own zone, admission and placement together. The decisions that follow (cold servers, other zones, time to the first event) would have made it longer still, and none of its parts could be tested alone.

Change: TargetSelector runs TargetRule objects over the candidates; the load tracker only keeps counts and health.

--- a/src/gateway/backend_load_tracker.cpp
+++ b/src/gateway/backend_load_tracker.cpp
@@ -1,8 +1,6 @@
 #include "gateway/backend_load_tracker.h"
 
 #include <algorithm>
-#include <array>
-#include <numeric>
 #include <utility>
 
 namespace carawaypoint
@@ -242,97 +240,10 @@
     return (own != backends_.end() && own->second.isStalled) || (peers != peerLoadSums_.end() && peers->second.isStalled);
 }
 
-double BackendLoadTracker::loadLimit(const ServingTarget &target, RequestStage stage) const
+bool BackendLoadTracker::isInBackoff(const VmId &server, TimePoint now) const
 {
-    if (target.replica.isEmpty()) {
-        return settings_.maxPlainLoad;
-    }
-    // Indexed by RequestStage.
-    const std::array limits{settings_.maxLoad, settings_.maxLoadForRetries, settings_.maxLoadForStartedStreams};
-    return limits.at(static_cast<std::size_t>(stage));
-}
-
-const BackendLoadTracker::Candidate &BackendLoadTracker::pickLowest(std::span<const Candidate> candidates)
-{
-    return *std::min_element(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.score < right.score; });
-}
-
-/// Distributes @p requests so that they fill the targets to the same level, and draws a target with the probability of its share.
-/// Only targets in @p connected are drawn if any of them has a share.
-BackendLoadTracker::Candidate
-BackendLoadTracker::pickByWaterFilling(std::vector<Candidate> candidates, double requests, std::span<const VmId> connected, std::mt19937_64 &random)
-{
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.score < right.score; });
-    double slots = 0;
-    double used = 0;
-    double level = 0;
-    for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
-        const auto &candidate = candidates[rank];
-        if (rank > 0 && level <= candidate.score) {
-            break;
-        }
-        slots += candidate.target->slots;
-        used += candidate.target->slots * candidate.score;
-        level = (requests + used) / slots;
-    }
-    std::vector<double> shares;
-    std::vector<double> connectedShares;
-    shares.reserve(candidates.size());
-    connectedShares.reserve(candidates.size());
-    for (const auto &candidate : candidates) {
-        const bool isConnected = std::find(connected.begin(), connected.end(), candidate.target->server) != connected.end();
-        shares.push_back(candidate.target->slots * std::max(0.0, level - candidate.score));
-        connectedShares.push_back(isConnected ? shares.back() : 0);
-    }
-    if (std::any_of(connectedShares.begin(), connectedShares.end(), [](double share) { return share > 0; })) {
-        shares = std::move(connectedShares);
-    }
-    std::discrete_distribution<std::size_t> distribution(shares.begin(), shares.end());
-    return candidates[distribution(random)];
-}
-
-BackendLoadTracker::Choice BackendLoadTracker::choose(std::span<const ServingTarget> targets,
-                                                      const ZoneId &zone,
-                                                      std::span<const VmId> excluded,
-                                                      TimePoint now,
-                                                      std::mt19937_64 &random,
-                                                      RequestStage stage,
-                                                      const StalenessEstimate &staleness,
-                                                      std::span<const VmId> connected) const
-{
-    std::vector<Candidate> healthy;
-    std::vector<Candidate> inBackoff; // failed recently, but not stalled
-    double leastLoad = -1;
-    std::uniform_real_distribution<double> jitter(0, settings_.maxJitter);
-    for (const auto &target : targets) {
-        const bool isExcluded = std::find(excluded.begin(), excluded.end(), target.server) != excluded.end();
-        if (isExcluded || isStalled(target.server)) {
-            continue;
-        }
-        const double load = loadOf(target) * (1 - staleness.endedShare);
-        leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
-        const double prefill = prefillSeconds(target);
-        const double prefillLoad = stage == RequestStage::StreamStarted ? 0 : settings_.prefillSlotShare * prefill;
-        const double freeCapacity = (loadLimit(target, stage) - load - prefillLoad) * target.slots;
-        if (freeCapacity <= 0) {
-            continue;
-        }
-        const double score = load + settings_.prefillWeight * prefill + (target.zone == zone ? 0 : settings_.remoteZonePenalty) + jitter(random);
-        const auto own = backends_.find(target.server);
-        const bool isInBackoff = own != backends_.end() && own->second.backoffUntil > now;
-        (isInBackoff ? inBackoff : healthy).push_back({&target, load, score, freeCapacity});
-    }
-    auto &candidates = healthy.empty() ? inBackoff : healthy;
-    const double freeCapacity =
-        std::accumulate(candidates.begin(), candidates.end(), 0.0, [](double sum, const Candidate &each) { return sum + each.freeCapacity; });
-    const double admittedShare = staleness.startedRequests <= freeCapacity ? 1 : freeCapacity / staleness.startedRequests;
-    const bool isAdmitted = stage == RequestStage::StreamStarted || std::bernoulli_distribution(admittedShare)(random);
-    if (candidates.empty() || !isAdmitted) {
-        return {nullptr, leastLoad >= 0, std::max(0.0, leastLoad), freeCapacity, staleness.startedRequests};
-    }
-    const auto chosen =
-        staleness.startedRequests > 1 ? pickByWaterFilling(std::move(candidates), staleness.startedRequests, connected, random) : pickLowest(candidates);
-    return {chosen.target, false, chosen.load, freeCapacity, staleness.startedRequests};
+    const auto own = backends_.find(server);
+    return own != backends_.end() && own->second.backoffUntil > now;
 }
 
 }
--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -6,8 +6,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <random>
-#include <span>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -38,36 +36,11 @@
     Duration stallBackoff{seconds(7)}; // a stalled server is tried again after this time
     Duration failureBackoff{milliseconds(1500)}; // after a failure; doubled for each further consecutive one
     unsigned maxBackoffDoublings = 3;
-    /// Load limits of a replica, in requests per slot. A request beyond its slots waits until another one ends, which is longer than the
-    /// target time of short ones allows; in a long peak a queue would make all of them late. Callers that retry after a refusal are late
-    /// already and would give up after another one; they wait behind new requests. Interrupting a started stream is worse than slowing
-    /// others down a little.
-    double maxLoad = 1.0;
-    double maxLoadForRetries = 1.05;
-    double maxLoadForStartedStreams = 1.7;
-    double maxPlainLoad = 3; // same for servers of plain services, whose requests are short
-    double prefillWeight = 2; // load equivalent of pending prefill that takes one second
-    double prefillSlotShare = 1; // share of the slots that pending prefill of one second occupies
-    double maxJitter = 0.03; // maximum random addition to a load
-    double remoteZonePenalty = 0.06; // load added to servers in another availability zone
     /// The load that a server states in a response replaces the counts of peers for this time, in which their reports are no newer.
     Duration statedLoadTime{milliseconds(100)};
     Duration peerTimeout{seconds(2)}; // the counts of a daemon that sends no reports are dropped after this time
 };
 
-/// Progress of a request when a target is chosen; determines the load limit.
-enum class RequestStage : std::uint8_t {
-    New,
-    Retried, // the caller retries after a refusal
-    StreamStarted, // its stream had events from a server that was lost
-};
-
-/// Estimated changes at the servers of a pool since the counts of peers were taken. Both are 0 when the counts are current.
-struct StalenessEstimate {
-    double startedRequests = 0; // requests that all gateways have sent or want to send there
-    double endedShare = 0; // share of the counted requests that have ended since
-};
-
 /// Load of one backend server as reported to other daemons.
 struct BackendLoad {
     VmId server;
@@ -82,7 +55,7 @@
     bool operator==(const BackendLoad &) const = default;
 };
 
-/// Tracks load and health of the backend servers and chooses targets for requests. Does no I/O; time and random generator are passed in.
+/// Tracks load and health of the backend servers. Does no I/O; the time is passed in.
 ///
 /// Detects replicas with a lost member, whose head accepts requests but sends nothing. A server counts as stalled only when none of
 /// its streams has an event: a daemon with a single stream that waits in a queue must not exclude the replica for all others, so an
@@ -114,27 +87,14 @@
     /// Servers that this daemon or a peer has found to be stalled since the last call.
     std::vector<VmId> takeStalled();
 
-    struct Choice {
-        const ServingTarget *target = nullptr; // null when no target is available
-        bool isFull = false; // some target is healthy, but none has free capacity
-        double load = 0; // of the target, or the lowest load when all are full; without the estimated ended requests
-        double freeCapacity = 0; // requests that all targets together can accept
-        double expected = 0; // requests of all gateways that compete for freeCapacity
-    };
-    /// Chooses a target with a low load per slot, preferring servers that are not in backoff. Never chooses one of @p excluded.
-    ///
-    /// When the counts of peers are old, all gateways would overload the least loaded target before the next counts arrive. The
-    /// requests that all gateways send meanwhile are therefore distributed so that they fill the targets to the same level; if they
-    /// exceed the free capacity, each gateway admits the share that fits. A target of this distribution that is in @p connected, to which
-    /// this gateway has an idle connection, goes first.
-    Choice choose(std::span<const ServingTarget> targets,
-                  const ZoneId &zone,
-                  std::span<const VmId> excluded,
-                  TimePoint now,
-                  std::mt19937_64 &random,
-                  RequestStage stage = RequestStage::New,
-                  const StalenessEstimate &staleness = {},
-                  std::span<const VmId> connected = {}) const;
+    /// Requests in progress at @p target for each of its slots.
+    double loadOf(const ServingTarget &target) const;
+    /// Seconds that the target needs for its pending prefill.
+    double prefillSeconds(const ServingTarget &target) const;
+    /// Whether no stream of the server makes progress.
+    bool isStalled(const VmId &server) const;
+    /// Whether the server has failed recently.
+    bool isInBackoff(const VmId &server, TimePoint now) const;
 
 private:
     struct StatedPeerRequests {
@@ -163,20 +123,6 @@
     bool isProgressing(const Backend &backend) const;
     bool isProgressingAtPeer(const VmId &server) const;
     void sumPeerLoads();
-    struct Candidate {
-        const ServingTarget *target = nullptr;
-        double load = 0;
-        double score = 0; // the lower the better
-        double freeCapacity = 0; // requests until the load limit
-    };
-
-    bool isStalled(const VmId &server) const;
-    double loadLimit(const ServingTarget &target, RequestStage stage) const;
-    static const Candidate &pickLowest(std::span<const Candidate> candidates);
-    static Candidate pickByWaterFilling(std::vector<Candidate> candidates, double requests, std::span<const VmId> connected, std::mt19937_64 &random);
-    double loadOf(const ServingTarget &target) const;
-    /// Seconds that the target needs for its pending prefill.
-    double prefillSeconds(const ServingTarget &target) const;
 
     BackendLoadTrackerSettings settings_;
     std::unordered_map<VmId, Backend> backends_;
--- a/src/gateway/fleet_demand.h
+++ b/src/gateway/fleet_demand.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/moving_average.h"
-#include "gateway/backend_load_tracker.h"
+#include "gateway/target_selection.h"
 
 #include <cstdint>
 #include <map>
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -206,8 +206,17 @@
     const auto staleness = countAge == Duration{} ? StalenessEstimate() : context_.demand.staleness(pool, countAge, now);
     auto excluded = context_.serverStatements.unavailable(targets, now);
     excluded.insert(excluded.end(), excluded_.begin(), excluded_.end());
-    const auto choice =
-        context_.loadTracker.choose(targets, context_.settings.zone, excluded, now, context_.random, stage(), staleness, context_.pool.connectedServers());
+    const auto connected = context_.pool.connectedServers();
+    const TargetQuery query{
+        .targets = targets,
+        .now = now,
+        .zone = context_.settings.zone,
+        .stage = stage(),
+        .staleness = staleness,
+        .excluded = excluded,
+        .connected = connected,
+    };
+    const auto choice = context_.targetSelector.choose(query, context_.random);
     entry_.load = choice.load;
     entry_.freeCapacity = choice.freeCapacity;
     entry_.expected = choice.expected;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include "gateway/request_log.h"
 #include "gateway/retry_detector.h"
 #include "gateway/server_statements.h"
+#include "gateway/target_selector.h"
 #include "gateway/wire_names.h"
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,7 @@
     std::mt19937_64 random{std::random_device{}()};
     FleetSnapshotPtr snapshot; // null until the configuration and the servers are known
     BackendLoadTracker loadTracker;
+    TargetSelector targetSelector = makeTargetSelector(loadTracker);
     FleetDemand demand;
     CountAge countAge; // of other gateways' requests
     MemoryBudget responseMemory;
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -6,6 +6,7 @@
 #include "gateway/relay_plan.h"
 #include "gateway/request_parser.h"
 #include "gateway/server_registry.h"
+#include "gateway/target_selector.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -94,22 +95,29 @@
     EXPECT_GT(granted, 100U);
 }
 
+/// The choice of a gateway in the availability zone `a`.
+TargetChoice choose(const BackendLoadTracker &loadTracker, std::mt19937_64 &random, TargetQuery query)
+{
+    query.zone = ZoneId("a");
+    return makeTargetSelector(loadTracker).choose(query, random);
+}
+
 // Guards against choosing a loaded replica while another has free capacity, even if the loaded one is in the same zone.
-TEST(BackendLoadTracker, choosesTheLeastLoadedTarget)
+TEST(TargetSelector, choosesTheLeastLoadedTarget)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
     const ServingTarget targets[] = {makeTarget("near", "a"), makeTarget("far", "b")};
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "near");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "near");
     for (int count = 0; count < 3; ++count) {
         loadTracker.recordRequestStart(VmId("near"), nullptr);
     }
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "far");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "far");
 }
 
 // Guards against queueing long prompts at one replica while another with as many requests has no pending prefill: the first event of
 // each stream would wait for the prefill of all prompts before it.
-TEST(BackendLoadTracker, prefersTargetWithLeastPendingPrefill)
+TEST(TargetSelector, prefersTargetWithLeastPendingPrefill)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
@@ -118,10 +126,10 @@
     FakeCall call;
     loadTracker.recordRequestStart(VmId("x"), &call, 6000);
     loadTracker.recordRequestStart(VmId("y"), &call, 500);
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "y");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "y");
     loadTracker.recordPrefillEnd(VmId("x"), 6000);
     loadTracker.recordRequestStart(VmId("y"), nullptr, 3000);
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "x");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "x");
 }
 
 // Guards against daemons that only count their own requests and overload a replica that others have filled already.
@@ -132,16 +140,16 @@
     const ServingTarget targets[] = {makeTarget("x"), makeTarget("y")};
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 8, 0, false}}, Start);
     for (int round = 0; round < 20; ++round) {
-        EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "y");
+        EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "y");
     }
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 12, 0, false}, {VmId("y"), 12, 0, false}}, Start);
-    const auto full = loadTracker.choose(targets, ZoneId("a"), {}, Start, random);
+    const auto full = choose(loadTracker, random, {.targets = targets, .now = Start});
     EXPECT_EQ(full.target, nullptr);
     EXPECT_TRUE(full.isFull);
     // A started stream is not interrupted for lack of free capacity.
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::StreamStarted).target, nullptr);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::StreamStarted}).target, nullptr);
     loadTracker.tick(Start + seconds(3)); // the peer has sent no reports, so its counts are dropped
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target, nullptr);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = Start}).target, nullptr);
 }
 
 // Guards against sending requests to a replica that other daemons have filled since their last reports, although the replica states its
@@ -158,15 +166,15 @@
     EXPECT_EQ(loadTracker.requestsAt(VmId("x")), 9U);
     loadTracker.recordRequestEnd(VmId("x"), nullptr);
     EXPECT_EQ(loadTracker.requestsAt(VmId("x")), 8U) << "its own requests are known exactly";
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "y");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "y");
     loadTracker.tick(Start + milliseconds(200));
     EXPECT_EQ(loadTracker.requestsAt(VmId("x")), 0U);
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "x");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "x");
 }
 
 // Load: a gateway of a large fleet sends a few requests a second to a hundred replicas. Guards against a new connection for each of them,
 // and against a connected replica that is chosen although it is fuller than others.
-TEST(BackendLoadTracker, prefersConnectedTargetsThatAreNoFullerThanOthers)
+TEST(TargetSelector, prefersConnectedTargetsThatAreNoFullerThanOthers)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
@@ -176,18 +184,20 @@
     }
     const VmId connected[] = {VmId("vm-7"), VmId("vm-8")};
     for (int round = 0; round < 20; ++round) {
-        const auto choice = loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::New, {20, 0}, connected);
+        const auto choice =
+            choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::New, .staleness = {20, 0}, .connected = connected});
         EXPECT_TRUE(choice.target->server == connected[0] || choice.target->server == connected[1]);
     }
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("vm-7"), 9, 0, false}, {VmId("vm-8"), 9, 0, false}}, Start);
     for (int round = 0; round < 20; ++round) {
-        const auto choice = loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::New, {20, 0}, connected);
+        const auto choice =
+            choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::New, .staleness = {20, 0}, .connected = connected});
         EXPECT_FALSE(choice.target->server == connected[0] || choice.target->server == connected[1]);
     }
 }
 
 // Guards against refusing a retry after a refusal: its caller gives up, while the caller of a refused new request retries.
-TEST(BackendLoadTracker, retriedRequestsGetCapacityThatNewOnesAreRefused)
+TEST(TargetSelector, retriedRequestsGetCapacityThatNewOnesAreRefused)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
@@ -196,14 +206,14 @@
     target.replica = ReplicaId("r1");
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 41, 0, false}}, Start);
     const std::span<const ServingTarget> targets(&target, 1);
-    EXPECT_TRUE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).isFull);
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::Retried).target, nullptr);
+    EXPECT_TRUE(choose(loadTracker, random, {.targets = targets, .now = Start}).isFull);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::Retried}).target, nullptr);
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 50, 0, false}}, Start);
-    EXPECT_TRUE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::Retried).isFull);
+    EXPECT_TRUE(choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::Retried}).isFull);
 }
 
 // Guards against sending further requests to a replica with free slots but much pending prefill: all of them would be late.
-TEST(BackendLoadTracker, pendingPrefillReducesFreeCapacity)
+TEST(TargetSelector, pendingPrefillReducesFreeCapacity)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
@@ -213,15 +223,15 @@
     target.prefillTokensPerSecond = 50000;
     const std::span<const ServingTarget> targets(&target, 1);
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 17, 5000, false}}, Start);
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target, nullptr);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = Start}).target, nullptr);
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 17, 60000, false}}, Start);
-    EXPECT_TRUE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).isFull);
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::StreamStarted).target, nullptr)
+    EXPECT_TRUE(choose(loadTracker, random, {.targets = targets, .now = Start}).isFull);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::StreamStarted}).target, nullptr)
         << "a started stream would be interrupted";
 }
 
 // Guards against interrupting a started stream because the fleet has more requests than free capacity.
-TEST(BackendLoadTracker, admitsShareOfNewRequestsButEveryStartedStream)
+TEST(TargetSelector, admitsShareOfNewRequestsButEveryStartedStream)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
@@ -233,8 +243,10 @@
     const StalenessEstimate staleness{.startedRequests = 20, .endedShare = 0};
     int admitted = 0;
     for (int round = 0; round < 1000; ++round) {
-        admitted += loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::New, staleness).target != nullptr ? 1 : 0;
-        EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, Start, random, RequestStage::StreamStarted, staleness).target, nullptr);
+        admitted +=
+            choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::New, .staleness = staleness}).target != nullptr ? 1 : 0;
+        EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = Start, .stage = RequestStage::StreamStarted, .staleness = staleness}).target,
+                  nullptr);
     }
     EXPECT_NEAR(admitted, 250, 60);
 }
@@ -260,7 +272,7 @@
     EXPECT_EQ(first.reroutes + second.reroutes, 2);
     EXPECT_THAT(loadTracker.takeStalled(), ElementsAre(VmId("x")));
     const ServingTarget targets[] = {makeTarget("x")};
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = now}).target, nullptr);
 }
 
 // Guards against a daemon whose only stream waits in a queue and that excludes the replica for all other daemons for seconds.
@@ -278,7 +290,7 @@
     }
     EXPECT_THAT(loadTracker.takeStalled(), IsEmpty());
     EXPECT_EQ(waiting.reroutes, 0);
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = now}).target, nullptr);
     EXPECT_FALSE(loadTracker.ownLoads().front().isStalled);
     // Before the caller gives up, the stream is rerouted, since this daemon's connection may have failed.
     loadTracker.tick(now += Tick);
@@ -286,11 +298,11 @@
     EXPECT_THAT(loadTracker.takeStalled(), IsEmpty());
     // A report of a stall is overridden by another peer that receives events.
     loadTracker.setPeerLoads(MemberId("q"), {{VmId("x"), 1, 0, true, false}}, now);
-    EXPECT_NE(loadTracker.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    EXPECT_NE(choose(loadTracker, random, {.targets = targets, .now = now}).target, nullptr);
     // Without events anywhere the server is stalled.
     loadTracker.setPeerLoads(MemberId("p"), {{VmId("x"), 2, 0, false, false}}, now);
     loadTracker.tick(now += Tick);
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, now, random).target, nullptr);
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = now}).target, nullptr);
     EXPECT_TRUE(loadTracker.ownLoads().front().isStalled);
 }
 
@@ -316,15 +328,15 @@
     EXPECT_THAT(loadTracker.takeStalled(), ElementsAre(VmId("x")));
 }
 
-TEST(BackendLoadTracker, failedServersAreInBackoffWhileOthersServe)
+TEST(TargetSelector, failedServersAreInBackoffWhileOthersServe)
 {
     std::mt19937_64 random(1);
     BackendLoadTracker loadTracker;
     const ServingTarget targets[] = {makeTarget("x"), makeTarget("y")};
     loadTracker.recordFailure(VmId("x"), Start);
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), {}, Start, random).target->server.str(), "y");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start}).target->server.str(), "y");
     const VmId excluded[] = {VmId("y")};
-    EXPECT_EQ(loadTracker.choose(targets, ZoneId("a"), excluded, Start, random).target->server.str(), "x");
+    EXPECT_EQ(choose(loadTracker, random, {.targets = targets, .now = Start, .excluded = excluded}).target->server.str(), "x");
 }
 
 // Guards against removing running servers because their registrations lapsed while the store was unavailable.
--- a/tests/gateway/replica_choice_load_test.cpp
+++ b/tests/gateway/replica_choice_load_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/backend_load_tracker.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/retry_after.h"
+#include "gateway/target_selector.h"
 
 #include <gtest/gtest.h>
 
@@ -190,14 +191,15 @@
         return Duration(static_cast<std::int64_t>(seconds * 1e6));
     }
 
-    BackendLoadTracker::Choice chooseAt(unsigned gateway, RequestStage stage = RequestStage::New)
+    TargetChoice chooseAt(unsigned gateway, RequestStage stage = RequestStage::New)
     {
         source_ = gateway;
         ++startedRequests_;
         demands_[source_].recordRequestStart(now_);
         demands_[source_].recordChoice(Pool, now_);
         const auto staleness = demands_[source_].staleness(Pool, CountAge, now_);
-        const auto choice = trackers_[source_].choose(targets_, ZoneId("a"), {}, now_, random_, stage, staleness);
+        const auto choice = makeTargetSelector(trackers_[source_])
+                                .choose({.targets = targets_, .now = now_, .zone = ZoneId("a"), .stage = stage, .staleness = staleness}, random_);
         if (choice.target != nullptr) {
             trackers_[source_].recordRequestStart(choice.target->server, nullptr);
         }
