--- a/src/fleet/replica_view.cpp
+++ b/src/fleet/replica_view.cpp
@@ -61,8 +61,9 @@
     return result;
 }
 
-FleetSnapshot::FleetSnapshot(ServiceConfigPtr config, const ServerMap &servers)
+FleetSnapshot::FleetSnapshot(ServiceConfigPtr config, const ServerMap &servers, std::set<ZoneId> evacuatedZones)
     : config_(std::move(config))
+    , evacuatedZones_(std::move(evacuatedZones))
 {
     if (config_) {
         addReplicas(servers);
@@ -86,6 +87,10 @@
         if (model == nullptr || head == nullptr || head->membership->state != MembershipState::Open || !view.isComplete(model->size)) {
             continue;
         }
+        // A request makes all members work, not only the head.
+        if (std::any_of(view.members.begin(), view.members.end(), [this](const auto &member) { return isEvacuated(*member.second); })) {
+            continue;
+        }
         const double prefillRate = model->pace > 0 ? engine.prefillTokensPerSecond / model->pace : 0;
         targets_[{view.service, view.model}].push_back({head->id, head->address, head->zone, engine.slots, head->startedAt, view.id, view.epoch, prefillRate});
     }
@@ -95,7 +100,7 @@
 {
     for (const auto &[id, server] : servers) {
         const auto service = config_->services.find(server.service);
-        if (service == config_->services.end() || service->second.engine || server.isLeaving) {
+        if (service == config_->services.end() || service->second.engine || server.isLeaving || isEvacuated(server)) {
             continue;
         }
         targets_[{server.service, ModelId()}].push_back({server.id, server.address, server.zone, server.slots, server.startedAt, ReplicaId(), 0, 0});
--- a/src/fleet/replica_view.h
+++ b/src/fleet/replica_view.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -53,7 +54,8 @@
 class FleetSnapshot
 {
 public:
-    FleetSnapshot(ServiceConfigPtr config, const ServerMap &servers);
+    /// @param evacuatedZones availability zones whose servers must get no requests, whatever they report.
+    FleetSnapshot(ServiceConfigPtr config, const ServerMap &servers, std::set<ZoneId> evacuatedZones = {});
 
     const ServiceConfigPtr &config() const
     {
@@ -61,12 +63,21 @@
     }
     /// Eligible targets of @p service; for services with replicas, the heads of those that run @p model.
     const ServingTargets &targets(const ServiceId &service, const ModelId &model) const;
+    const std::set<ZoneId> &evacuatedZones() const
+    {
+        return evacuatedZones_;
+    }
 
 private:
+    bool isEvacuated(const BackendServer &server) const
+    {
+        return evacuatedZones_.contains(server.zone);
+    }
     void addReplicas(const ServerMap &servers);
     void addPlainServers(const ServerMap &servers);
 
     ServiceConfigPtr config_;
+    std::set<ZoneId> evacuatedZones_;
     std::map<std::pair<ServiceId, ModelId>, ServingTargets> targets_;
 };
 
--- a/src/fleet/service_config.h
+++ b/src/fleet/service_config.h
@@ -65,6 +65,16 @@
     std::vector<ModelSpec> models;
     double loadsPerSecond = 1; // start rate of loads from the weight store, over the fleet
     double prefillTokensPerSecond = 0; // prefill rate of a replica with pace 1; 0 when not configured
+    double prefillPairsTime = 0; // ms added for each million pairs of a prompt token and a token before it
+    unsigned prefillChunkTokens = 0; // prompt tokens that one step processes at most; 0 when not configured
+    Duration stepTime{}; // duration of a step, which generates one token of each running request; zero when not configured
+    double stepTimePerRequest = 0; // ms added for each running request
+    double stepTimePerKiloToken = 0; // ms added for each 1000 tokens of context of each running request
+    unsigned stepsPerPass = 1; // steps between two admissions of waiting requests, and so tokens of one event of a stream
+    double crossDomainFactor = 1; // factor on all durations of a replica whose members are in several fabric domains
+    unsigned usualPromptTokens = 0; // mean of the service's requests; 0 when not configured
+    unsigned usualAnswerTokens = 0; // same for the generated tokens
+    std::uint64_t memoryTokens = 0; // tokens of context that the memory of a replica holds; 0 when not configured
     unsigned stagedModelsPerHost = 1; // models whose weights a host keeps; the oldest one is dropped for a further one
     unsigned maxConcurrentLoads = 1; // concurrent loads from the weight store, over the fleet; more of them slow each other down
 
@@ -75,6 +85,8 @@
     ServiceId id;
     unsigned maxConnections = 64; // connections that a backend server accepts in total
     std::optional<EngineSpec> engine; // empty for plain services
+    Duration coldTime{}; // for which a server is cold after its start during traffic; zero when its servers are never cold
+    double coldRequestsPerSecond = 0; // requests that a cold server bears, from all gateways together
 };
 
 /// Limits on callers' requests and connections.
--- a/src/gateway/load_report.capnp
+++ b/src/gateway/load_report.capnp
@@ -12,6 +12,8 @@
     isStalled @2 :Bool;
     unreadTokens @3 :UInt32; # prompt tokens of streams at the server without an event so far
     isProgressing @4 :Bool; # some stream at the server had an event recently
+    slowness @5 :Float32; # duration of the server's recent work divided by the expected one; 0 when not known
+    slownessSamples @6 :UInt32; # streams from which slowness was computed
 }
 
 struct UnmetLoad {
@@ -31,6 +33,24 @@
     crashes @1 :List(TraitCrash);
 }
 
+struct Evacuations {
+    revision @0 :UInt64; # of the store at which the zones were read
+    zones @1 :List(Text); # availability zones whose servers must get no requests
+}
+
+struct ZoneLink {
+    from @0 :Text; # availability zone of the gateways that observed it
+    to @1 :Text; # availability zone of the servers
+    isReachable @2 :Bool;
+    ageMs @3 :UInt32; # of the observation
+}
+
+struct LeavingServer {
+    server @0 :Text;
+    startedAt @1 :UInt64; # identifies the server's process
+    ageMs @2 :UInt32; # of the server's statement
+}
+
 struct LoadReport {
     gateway @0 :Text;
     process @1 :UInt64; # incarnation of the process
@@ -42,4 +62,7 @@
     isFleetSum @7 :Bool; # the gateways of all zones are summed up
     countAgeMs @8 :UInt32; # in sums: mean age of the counts when the sum was sent
     crashEvidence @9 :List(TraitEvidence); # of the sender, with what it has received; only what changed recently, and from time to time all
+    evacuations @10 :Evacuations; # the newest that the sender knows
+    zoneLinks @11 :List(ZoneLink);
+    leavingServers @12 :List(LeavingServer);
 }
--- a/src/gateway/load_report.capnp.h
+++ b/src/gateway/load_report.capnp.h
@@ -20,6 +20,9 @@
 CAPNP_DECLARE_SCHEMA(c2e5d08dc553c091);
 CAPNP_DECLARE_SCHEMA(a2b5a1a27a82895b);
 CAPNP_DECLARE_SCHEMA(ee41a672d467a84c);
+CAPNP_DECLARE_SCHEMA(fb91861e86db85c7);
+CAPNP_DECLARE_SCHEMA(92622d4a0caa6232);
+CAPNP_DECLARE_SCHEMA(8513cb7196a70ca1);
 CAPNP_DECLARE_SCHEMA(fc1da4c1689683b4);
 
 }  // namespace schemas
@@ -36,7 +39,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de6952d1b4451645, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(de6952d1b4451645, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -88,6 +91,51 @@
   };
 };
 
+struct Evacuations {
+  Evacuations() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb91861e86db85c7, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ZoneLink {
+  ZoneLink() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92622d4a0caa6232, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LeavingServer {
+  LeavingServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8513cb7196a70ca1, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadReport {
   LoadReport() = delete;
 
@@ -96,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(fc1da4c1689683b4, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -133,6 +181,10 @@
 
   inline bool getIsProgressing() const;
 
+  inline float getSlowness() const;
+
+  inline  ::uint32_t getSlownessSamples() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -180,6 +232,12 @@
   inline bool getIsProgressing();
   inline void setIsProgressing(bool value);
 
+  inline float getSlowness();
+  inline void setSlowness(float value);
+
+  inline  ::uint32_t getSlownessSamples();
+  inline void setSlownessSamples( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -474,6 +532,285 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuations::Reader {
+public:
+  typedef Evacuations Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getZones() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuations::Builder {
+public:
+  typedef Evacuations Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getZones();
+  inline void setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initZones(unsigned int size);
+  inline void adoptZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownZones();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuations::Pipeline {
+public:
+  typedef Evacuations Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ZoneLink::Reader {
+public:
+  typedef ZoneLink Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline bool hasTo() const;
+  inline  ::capnp::Text::Reader getTo() const;
+
+  inline bool getIsReachable() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ZoneLink::Builder {
+public:
+  typedef ZoneLink Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline bool hasTo();
+  inline  ::capnp::Text::Builder getTo();
+  inline void setTo( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTo(unsigned int size);
+  inline void adoptTo(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTo();
+
+  inline bool getIsReachable();
+  inline void setIsReachable(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ZoneLink::Pipeline {
+public:
+  typedef ZoneLink Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeavingServer::Reader {
+public:
+  typedef LeavingServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getStartedAt() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingServer::Builder {
+public:
+  typedef LeavingServer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getStartedAt();
+  inline void setStartedAt( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingServer::Pipeline {
+public:
+  typedef LeavingServer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadReport::Reader {
 public:
   typedef LoadReport Reads;
@@ -516,6 +853,15 @@
   inline bool hasCrashEvidence() const;
   inline  ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>::Reader getCrashEvidence() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::carawaypoint::wire::Evacuations::Reader getEvacuations() const;
+
+  inline bool hasZoneLinks() const;
+  inline  ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Reader getZoneLinks() const;
+
+  inline bool hasLeavingServers() const;
+  inline  ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader getLeavingServers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -594,6 +940,27 @@
   inline void adoptCrashEvidence(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::TraitEvidence,  ::capnp::Kind::STRUCT>> disownCrashEvidence();
 
+  inline bool hasEvacuations();
+  inline  ::carawaypoint::wire::Evacuations::Builder getEvacuations();
+  inline void setEvacuations( ::carawaypoint::wire::Evacuations::Reader value);
+  inline  ::carawaypoint::wire::Evacuations::Builder initEvacuations();
+  inline void adoptEvacuations(::capnp::Orphan< ::carawaypoint::wire::Evacuations>&& value);
+  inline ::capnp::Orphan< ::carawaypoint::wire::Evacuations> disownEvacuations();
+
+  inline bool hasZoneLinks();
+  inline  ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Builder getZoneLinks();
+  inline void setZoneLinks( ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Builder initZoneLinks(unsigned int size);
+  inline void adoptZoneLinks(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>> disownZoneLinks();
+
+  inline bool hasLeavingServers();
+  inline  ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder getLeavingServers();
+  inline void setLeavingServers( ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder initLeavingServers(unsigned int size);
+  inline void adoptLeavingServers(::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>> disownLeavingServers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -612,6 +979,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypoint::wire::Evacuations::Pipeline getEvacuations();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -712,6 +1080,34 @@
       ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ServerLoad::Reader::getSlowness() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getSlowness() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setSlowness(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerLoad::Reader::getSlownessSamples() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerLoad::Builder::getSlownessSamples() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setSlownessSamples( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool UnmetLoad::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -884,6 +1280,216 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Evacuations::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuations::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuations::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuations::Reader::hasZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuations::Builder::hasZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Evacuations::Reader::getZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::getZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuations::Builder::setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Evacuations::Builder::setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::initZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuations::Builder::adoptZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Evacuations::Builder::disownZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ZoneLink::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ZoneLink::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ZoneLink::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ZoneLink::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ZoneLink::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ZoneLink::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ZoneLink::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ZoneLink::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ZoneLink::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ZoneLink::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ZoneLink::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ZoneLink::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ZoneLink::Builder::setTo( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ZoneLink::Builder::initTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ZoneLink::Builder::adoptTo(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ZoneLink::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ZoneLink::Reader::getIsReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ZoneLink::Builder::getIsReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ZoneLink::Builder::setIsReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ZoneLink::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ZoneLink::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ZoneLink::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeavingServer::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingServer::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingServer::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingServer::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingServer::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingServer::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingServer::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingServer::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingServer::Reader::getStartedAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getStartedAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setStartedAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LeavingServer::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LeavingServer::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadReport::Reader::hasGateway() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1124,6 +1730,113 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReport::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypoint::wire::Evacuations::Reader LoadReport::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Evacuations>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::carawaypoint::wire::Evacuations::Builder LoadReport::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Evacuations>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::carawaypoint::wire::Evacuations::Pipeline LoadReport::Pipeline::getEvacuations() {
+  return  ::carawaypoint::wire::Evacuations::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void LoadReport::Builder::setEvacuations( ::carawaypoint::wire::Evacuations::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::Evacuations>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypoint::wire::Evacuations::Builder LoadReport::Builder::initEvacuations() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Evacuations>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::carawaypoint::wire::Evacuations>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypoint::wire::Evacuations>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypoint::wire::Evacuations> LoadReport::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::carawaypoint::wire::Evacuations>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::hasZoneLinks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasZoneLinks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getZoneLinks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getZoneLinks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setZoneLinks( ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initZoneLinks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptZoneLinks(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownZoneLinks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::ZoneLink,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::hasLeavingServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasLeavingServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getLeavingServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getLeavingServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setLeavingServers( ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initLeavingServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptLeavingServers(
+    ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownLeavingServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypoint::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/fleet/fleet_rules_test.cpp
+++ b/tests/fleet/fleet_rules_test.cpp
@@ -101,6 +101,29 @@
     }
 }
 
+// Guards against a request that reaches a server of an evacuated zone through the head of a replica in another zone.
+TEST(FleetSnapshot, serversOfEvacuatedZonesAreNotTargets)
+{
+    ServerMap servers;
+    for (unsigned rank = 0; rank < 3; ++rank) {
+        auto member = makeMember("vm-" + std::to_string(rank), rank, rank == 0 ? MembershipState::Open : MembershipState::Ready);
+        member.zone = ZoneId(rank == 2 ? "b" : "a");
+        servers[member.id] = member;
+    }
+    BackendServer plain;
+    plain.id = VmId("booking-1");
+    plain.service = ServiceId("booking");
+    plain.zone = ZoneId("b");
+    servers[plain.id] = plain;
+    const auto countTargets = [&servers](std::set<ZoneId> evacuated) {
+        const FleetSnapshot snapshot(makeConfig(), servers, std::move(evacuated));
+        return snapshot.targets(ServiceId("drafting"), ModelId("small")).size() + snapshot.targets(ServiceId("booking"), ModelId()).size();
+    };
+    EXPECT_EQ(countTargets({}), 2U);
+    EXPECT_EQ(countTargets({ZoneId("c")}), 2U);
+    EXPECT_EQ(countTargets({ZoneId("b")}), 0U) << "a replica with a member there has its head elsewhere";
+}
+
 TEST(FleetSnapshot, leavingPlainServersAreNotTargets)
 {
     ServerMap servers;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -86,6 +86,32 @@
     EXPECT_FALSE(decodeServerRecord("i", replaceText(record, R"("state":"open")", R"("state":"odd")")));
 }
 
+// Guards against times of replicas that are predicted from missing or misread figures of the engine.
+TEST(RecordDecoder, parsesTheFiguresOfAnEngine)
+{
+    const auto config = decodeServiceConfig(
+        R"({"version":1,"routes":[],"services":[{"name":"s","cold_s":3.0,"cold_per_s":26.0,"engine":{"slots":30,"kv_capacity":1590000,"stride":7,)"
+        R"("step_ms":5.95,"per_seq_ms":0.0445,"context_per_k":0.00813,"read_per_s":50700.0,"pairs_per_m":0.368,"chunk":2048,"far_x":2.5,)"
+        R"("usual":{"prompt":797,"answer":210}}},{"name":"t","cold_s":-1}]})");
+    ASSERT_TRUE(config);
+    const auto &service = config->services.at(ServiceId("s"));
+    EXPECT_EQ(service.coldTime, seconds(3));
+    EXPECT_DOUBLE_EQ(service.coldRequestsPerSecond, 26);
+    const auto &engine = *service.engine;
+    EXPECT_EQ(engine.stepTime, microseconds(5950));
+    EXPECT_DOUBLE_EQ(engine.stepTimePerRequest, 0.0445);
+    EXPECT_DOUBLE_EQ(engine.stepTimePerKiloToken, 0.00813);
+    EXPECT_DOUBLE_EQ(engine.prefillTokensPerSecond, 50700);
+    EXPECT_DOUBLE_EQ(engine.prefillPairsTime, 0.368);
+    EXPECT_EQ(engine.prefillChunkTokens, 2048U);
+    EXPECT_EQ(engine.stepsPerPass, 7U);
+    EXPECT_DOUBLE_EQ(engine.crossDomainFactor, 2.5);
+    EXPECT_EQ(engine.usualPromptTokens, 797U);
+    EXPECT_EQ(engine.usualAnswerTokens, 210U);
+    EXPECT_EQ(engine.memoryTokens, 1590000U);
+    EXPECT_EQ(config->services.at(ServiceId("t")).coldTime, Duration{}) << "a negative time";
+}
+
 TEST(RecordDecoder, parsesTheServiceConfiguration)
 {
     const auto config = decodeServiceConfig(
@@ -116,6 +142,7 @@
     EXPECT_EQ(engine->maxConcurrentLoads, 8U);
     EXPECT_EQ(engine->stagedModelsPerHost, 2U);
     EXPECT_FALSE(config->services.at(ServiceId("t")).engine);
+    EXPECT_EQ(config->services.at(ServiceId("t")).coldTime, Duration{});
     EXPECT_EQ(config->findCustomer("k2")->id.str(), "c");
     EXPECT_EQ(config->findCustomer("k3"), nullptr);
     EXPECT_EQ(decodeServiceConfig("{}"), nullptr);
