Replace relays of load reports that have ended, and report to new ones at once

Cause: a relay that is replaced leaves a record in the store, so that its place stays empty, and the gateways of its zone report to its successor only after they have read the list of gateways again, every 15 s or after an outage of the store.

Ruled out: reports above the size of a datagram; the estimate of ended requests (0.2 to 0.3, right); reports that expire.

Change: gateways also report to those that send sums to them, and relays that are silent for 1.5 s are replaced by the next ones until they speak again. A gateway whose role changes forgets the counts of its peers, which it would count twice. docs/design/relays.md has what was weighed.

--- a/src/gateway/backend_load_tracker.cpp
+++ b/src/gateway/backend_load_tracker.cpp
@@ -169,6 +169,12 @@
     sumPeerLoads();
 }
 
+void BackendLoadTracker::dropPeerLoads()
+{
+    peers_.clear();
+    sumPeerLoads();
+}
+
 void BackendLoadTracker::sumPeerLoads()
 {
     peerLoadSums_.clear();
--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -81,6 +81,8 @@
     void tick(TimePoint now);
 
     void setPeerLoads(const MemberId &peer, std::vector<BackendLoad> loads, TimePoint now);
+    /// Forgets the loads of all peers, since they will be reported by other ones.
+    void dropPeerLoads();
     std::vector<BackendLoad> ownLoads() const;
     /// Requests in progress at @p server, from this daemon and its peers.
     unsigned requestsAt(const VmId &server) const;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -50,9 +50,9 @@
 {
     const auto error = openDatagramSocket(socket_, endpoint);
     if (!error) {
-        auto receive = [this](std::span<const std::byte> bytes, const Endpoint &) {
+        auto receive = [this](std::span<const std::byte> bytes, const Endpoint &sender) {
             if (auto report = decodeReport(bytes)) {
-                applyReport(*std::move(report));
+                applyReport(*std::move(report), sender);
             }
         };
         asio::co_spawn(context_.io, receiveDatagrams(socket_, MaxReportBytes, std::move(receive)), asio::detached);
@@ -61,14 +61,49 @@
     return error;
 }
 
-void LoadExchange::setPeers(std::span<const PeerGateway> peers)
+PeerGateway LoadExchange::self() const
 {
     const auto &settings = context_.settings;
-    relayPlan_ = RelayPlan({settings.id, settings.zone, settings.peer, settings.changes, settings.linkMbps}, peers);
+    return {settings.id, settings.zone, settings.peer, settings.changes, settings.linkMbps};
+}
+
+void LoadExchange::setPeers(std::span<const PeerGateway> peers)
+{
+    peers_.assign(peers.begin(), peers.end());
+    makePlan(context_.now());
+}
+
+void LoadExchange::makePlan(TimePoint now)
+{
+    const bool wasRelay = relayPlan_.isRelay();
+    const auto isListed = [this](const MemberId &id) {
+        const auto &receivers = relayPlan_.reportReceivers();
+        return std::any_of(receivers.begin(), receivers.end(), [&id](const PeerGateway &peer) { return peer.id == id; });
+    };
+    relayPlan_ = RelayPlan(self(), peers_, {.silent = liveness_.silentRelays(), .substitutes = 0});
+    // Unlisted relays take the places of relays that have ended, so that the gateways without newer knowledge need not do so.
+    const auto substitutes = static_cast<std::size_t>(std::count_if(unlistedRelays_.begin(), unlistedRelays_.end(), [&](const auto &entry) {
+        return entry.second.zone == context_.settings.zone && !isListed(entry.first);
+    }));
+    if (substitutes > 0) {
+        relayPlan_ = RelayPlan(self(), peers_, {.silent = liveness_.silentRelays(), .substitutes = substitutes});
+    }
+    std::vector<MemberId> relays;
+    for (const auto &relay : relayPlan_.reportReceivers()) {
+        relays.push_back(relay.id);
+    }
     if (relayPlan_.isDirect()) {
         context_.countAge.setCurrent();
-    } else if (context_.countAge.at(context_.now()) == Duration{}) {
-        context_.countAge.set(InitialCountAge, context_.now());
+        relays.clear();
+    } else if (context_.countAge.at(now) == Duration{}) {
+        context_.countAge.set(InitialCountAge, now);
+    }
+    liveness_.expect(relays, now);
+    if (relayPlan_.isRelay() != wasRelay) {
+        // Relays get single reports and the others sums of them, which would count the same requests twice until the former expire.
+        context_.loadTracker.dropPeerLoads();
+        logDecision("load exchange", context_.settings.id.str(), relayPlan_.isRelay() ? "relay" : "no relay", "relays of the zone have changed",
+                    {{"silent", static_cast<std::uint64_t>(liveness_.silentRelays().size())}});
     }
 }
 
@@ -79,7 +114,7 @@
     timer_.cancel();
 }
 
-void LoadExchange::applyReport(GatewayLoadReport report)
+void LoadExchange::applyReport(GatewayLoadReport report, const Endpoint &sender)
 {
     auto &latest = latestReports_[report.gateway];
     const bool isNewer = report.process > latest.process || (report.process == latest.process && report.sequence > latest.sequence);
@@ -89,7 +124,9 @@
     latest = {report.process, report.sequence};
     hasSeenTraffic_ = hasSeenTraffic_ || report.requestsStarted > 0;
     context_.quarantine.merge(report.gateway, report.crashEvidence, context_.now());
+    liveness_.recordMessage(report.gateway, context_.now());
     if (!report.zone.isEmpty()) {
+        recordRelay(report, sender);
         applySum(std::move(report));
         return;
     }
@@ -101,6 +138,47 @@
     context_.loadTracker.setPeerLoads(report.gateway, std::move(report.loads), context_.now());
 }
 
+void LoadExchange::recordRelay(const GatewayLoadReport &sum, const Endpoint &sender)
+{
+    const auto isSender = [&sum](const PeerGateway &peer) {
+        return peer.id == sum.gateway;
+    };
+    const auto &own = relayPlan_.reportReceivers();
+    const auto &others = relayPlan_.otherZoneRelays();
+    if (std::any_of(own.begin(), own.end(), isSender) || std::any_of(others.begin(), others.end(), isSender)) {
+        unlistedRelays_.erase(sum.gateway);
+        return;
+    }
+    const bool isNew = unlistedRelays_.insert_or_assign(sum.gateway, UnlistedRelay{sender, sum.zone, context_.now()}).second;
+    if (isNew) {
+        makePlan(context_.now());
+    }
+}
+
+void LoadExchange::updateRelays(TimePoint now)
+{
+    const bool isLate = updatedAt_ != TimePoint{} && now - updatedAt_ > 2 * ReportInterval;
+    updatedAt_ = now;
+    if (isLate) {
+        liveness_.restart(now);
+    }
+    const auto gone = std::erase_if(unlistedRelays_, [&](const auto &entry) { return now - entry.second.heardAt >= RelayLiveness::SilenceTimeout; });
+    if (liveness_.update(now) || gone > 0) {
+        makePlan(now);
+    }
+}
+
+std::vector<Endpoint> LoadExchange::unlistedRelays(bool isOwnZone) const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto &[id, relay] : unlistedRelays_) {
+        if ((relay.zone == context_.settings.zone) == isOwnZone) {
+            addresses.push_back(relay.address);
+        }
+    }
+    return addresses;
+}
+
 void LoadExchange::applySum(GatewayLoadReport report)
 {
     // The sum of the fleet includes this gateway's own zone, and so its own requests.
@@ -169,11 +247,11 @@
     const auto zoneSum = sums_.zoneSum(own, context_.now());
     const auto fleetSum = sums_.fleetSum(zoneSum, context_.now());
     context_.countAge.set(fleetSum.countAge, context_.now());
-    send(zoneSum, relayPlan_.otherZoneRelays());
+    send(zoneSum, relayPlan_.otherZoneRelays(), unlistedRelays(false));
     send(fleetSum, relayPlan_.zonePeers());
 }
 
-void LoadExchange::send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers)
+void LoadExchange::send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers, std::span<const Endpoint> others)
 {
     auto message = report;
     message.gateway = context_.settings.id;
@@ -187,6 +265,9 @@
     for (const auto &receiver : receivers) {
         sendDatagram(socket_, bytes, receiver.address);
     }
+    for (const auto &receiver : others) {
+        sendDatagram(socket_, bytes, receiver);
+    }
 }
 
 asio::awaitable<void> LoadExchange::sendReports()
@@ -198,8 +279,9 @@
             break;
         }
         hasSeenTraffic_ = hasSeenTraffic_ || context_.requestsStarted > 0;
+        updateRelays(context_.now());
         auto own = ownReport();
-        send(own, relayPlan_.reportReceivers());
+        send(own, relayPlan_.reportReceivers(), unlistedRelays(true));
         // The relays of a zone send in turn, so that their number does not multiply what the other gateways receive.
         if (relayPlan_.isRelay() && ++rounds_ % RelayPlan::RelaysPerZone == relayPlan_.relayRank()) {
             sendSums(std::move(own));
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -3,6 +3,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/load_report_codec.h"
 #include "gateway/load_sums.h"
+#include "gateway/relay_liveness.h"
 #include "gateway/relay_plan.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -19,6 +20,9 @@
 /// on the traffic thread only.
 ///
 /// Lost datagrams are tolerated: each carries the complete state, and the counts of a peer without reports expire.
+///
+/// A gateway reports to the relays that it knows of and to those that send sums to it. So a new relay gets the reports of its zone before the
+/// other gateways have read the list of gateways again, and a relay that has ended is replaced although its record stays.
 class LoadExchange
 {
 public:
@@ -44,19 +48,36 @@
     };
 
     asio::awaitable<void> sendReports();
-    void applyReport(GatewayLoadReport report);
+    /// A relay that is not in the plan, by the sums that it sends.
+    struct UnlistedRelay {
+        Endpoint address;
+        ZoneId zone;
+        TimePoint heardAt{};
+    };
+
+    PeerGateway self() const;
+    void applyReport(GatewayLoadReport report, const Endpoint &sender);
     void applySum(GatewayLoadReport report);
+    void recordRelay(const GatewayLoadReport &sum, const Endpoint &sender);
+    /// Detects relays that have ended or speak again, and adapts the plan.
+    void updateRelays(TimePoint now);
+    void makePlan(TimePoint now);
+    std::vector<Endpoint> unlistedRelays(bool isOwnZone) const;
     GatewayLoadReport ownReport();
     /// At a relay: sends the sum of its zone to the other zones, and the sum of all zones to its own.
     void sendSums(GatewayLoadReport own);
-    void send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers);
+    void send(const GatewayLoadReport &report, std::span<const PeerGateway> receivers, std::span<const Endpoint> others = {});
 
     GatewayContext &context_;
     std::uint64_t process_;
     std::uint64_t sequence_ = 0;
     asio::ip::udp::socket socket_;
     asio::steady_timer timer_;
+    std::vector<PeerGateway> peers_;
     RelayPlan relayPlan_;
+    RelayLiveness liveness_; // of the relays of the own zone
+    std::map<MemberId, UnlistedRelay> unlistedRelays_;
+    TimePoint updatedAt_{};
     struct ReceivedUnmet {
         std::vector<UnmetLoad> loads;
         TimePoint at{};
--- a/src/gateway/relay_plan.cpp
+++ b/src/gateway/relay_plan.cpp
@@ -16,15 +16,15 @@
 using MembersByLink = std::map<unsigned, std::vector<MemberId>, std::greater<>>;
 
 /// Relays carry the traffic of a whole zone, so that gateways with slow links are chosen only when there are no others.
-std::vector<MemberId> relaysOf(const ZoneId &zone, const MembersByLink &membersByLink)
+std::vector<MemberId> relaysOf(const ZoneId &zone, const MembersByLink &membersByLink, std::size_t count)
 {
     std::vector<MemberId> relays;
     for (const auto &[linkMbps, members] : membersByLink) {
-        const auto chosen = chooseByRendezvous(members, zone.str(), RelayPlan::RelaysPerZone - relays.size());
-        relays.insert(relays.end(), chosen.begin(), chosen.end());
-        if (relays.size() >= RelayPlan::RelaysPerZone) {
+        if (relays.size() >= count) {
             break;
         }
+        const auto chosen = chooseByRendezvous(members, zone.str(), count - relays.size());
+        relays.insert(relays.end(), chosen.begin(), chosen.end());
     }
     return relays;
 }
@@ -36,7 +36,7 @@
 
 }
 
-RelayPlan::RelayPlan(const PeerGateway &self, std::span<const PeerGateway> peers)
+RelayPlan::RelayPlan(const PeerGateway &self, std::span<const PeerGateway> peers, const RelayAbsence &absence)
     : isDirect_(peers.size() <= MaxDirectPeers)
 {
     if (isDirect_) {
@@ -47,11 +47,14 @@
     std::map<ZoneId, MembersByLink> membersByZone;
     membersByZone[zone][self.linkMbps].push_back(self.id);
     for (const auto &peer : peers) {
-        membersByZone[peer.zone][peer.linkMbps].push_back(peer.id);
+        if (!absence.silent.contains(peer.id)) {
+            membersByZone[peer.zone][peer.linkMbps].push_back(peer.id);
+        }
     }
     std::map<ZoneId, std::vector<MemberId>> relays;
     for (const auto &[name, members] : membersByZone) {
-        relays[name] = relaysOf(name, members);
+        const auto substitutes = name == zone ? std::min(absence.substitutes, RelaysPerZone) : 0;
+        relays[name] = relaysOf(name, members, RelaysPerZone - substitutes);
     }
     const auto &own = relays[zone];
     isRelay_ = contains(own, self.id);
--- a/src/gateway/relay_plan.h
+++ b/src/gateway/relay_plan.h
@@ -2,6 +2,8 @@
 
 #include "core/ids.h"
 
+#include <cstddef>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -19,6 +21,12 @@
     bool operator==(const PeerGateway &) const = default;
 };
 
+/// Relays of a gateway's own zone that the list of gateways does not tell of correctly.
+struct RelayAbsence {
+    std::set<MemberId> silent; // they have ended, and others take their places
+    std::size_t substitutes = 0; // gateways that are relays by their own, newer view
+};
+
 /// Determines which gateways exchange load reports and change notices, so that the cost of a gateway does not grow with the fleet.
 ///
 /// In a small fleet every gateway reports to every other. In a larger one each availability zone has two relays, the gateways with the
@@ -33,7 +41,7 @@
     static constexpr std::size_t RelaysPerZone = 2;
 
     RelayPlan() = default;
-    RelayPlan(const PeerGateway &self, std::span<const PeerGateway> peers);
+    RelayPlan(const PeerGateway &self, std::span<const PeerGateway> peers, const RelayAbsence &absence = {});
 
     bool isDirect() const
     {
