Let spares load the weights from their hosts before they are needed

Cause: a replica that has lost a member serves again when all members have joined. The survivors need 0.2 s, a spare whose host keeps the weights 1.1 to 1.6 s, for which the others wait.

Change: a spare joins a replica of its own, which has no other member and is never opened, once it has been free for 2 s. Such replicas are no replicas to the controller, also to a new holder of the lease.

Changes to tests: three looked for spares by a missing membership; they ask isSpare() now and check the same. newHolderCanUseMembersOfEndedReplicas and repairsModelThatLostCapacity take the same spares away as before.

--- a/src/fleet/replica_controller.cpp
+++ b/src/fleet/replica_controller.cpp
@@ -154,7 +154,7 @@
 void ReplicaController::adoptReportedReplicas(const ServerMap &servers, TimePoint now)
 {
     for (const auto &view : groupByReplica(servers, *config_)) {
-        if (plans_.contains(view.id)) {
+        if (plans_.contains(view.id) || SparePreloader::isOwnReplica(view.id)) {
             continue;
         }
         auto plan = makeAdoptedPlan(view, now);
--- a/src/fleet/replica_controller.h
+++ b/src/fleet/replica_controller.h
@@ -7,6 +7,7 @@
 #include "fleet/replica_composer.h"
 #include "fleet/replica_plan.h"
 #include "fleet/replica_view.h"
+#include "fleet/spare_preloader.h"
 #include "fleet/weight_load_limiter.h"
 
 #include <map>
@@ -149,10 +150,13 @@
     /// Whether the service has enough fabric domains to run only one model in each.
     static bool hasDomainsForEachModel(const ServiceSpec &service, const ServerMap &servers);
     std::set<ModelId> modelsInDomain(const DomainKey &domain) const;
+    /// An epoch that is higher than all earlier ones.
+    std::uint64_t nextEpoch();
     bool startReplica(const ServiceSpec &service, const FabricDomainId &domain, const Composition &composition, const ServerMap &servers, TimePoint now);
     /// Before traffic, stages a second model on the hosts of serving replicas, so that their servers can run either model without a load.
     void stageAlternatives(const ServerMap &servers, TimePoint now);
     void stageSpares(const ServiceSpec &service, const FabricDomainId &domain, std::span<const FreeServer> spares, const ServerMap &servers, TimePoint now);
+    void preloadSpares(std::span<const FreeServer> spares, const ServerMap &servers, TimePoint now);
     void removeEndedStagings(const ServerMap &servers, TimePoint now);
     std::vector<ModelDemand> modelDemands(const ServiceSpec &service, const ServerMap &servers) const;
     /// Servers that each model needs: from its requests, or from the configured shares while these are not known.
@@ -173,6 +177,7 @@
     Plans plans_;
     std::set<VmId> assigned_; // result of assignedServers() at the start of decide()
     std::map<VmId, Staging> stagings_;
+    SparePreloader preloader_;
     std::map<VmId, Unresponsive> unresponsive_;
     std::map<VmId, TimePoint> registeredSince_;
     TimePoint termStartedAt_{};
--- a/src/fleet/replica_formation.cpp
+++ b/src/fleet/replica_formation.cpp
@@ -186,8 +186,10 @@
                                                 [count](const ModelSpec &model) { return model.size > 0 && model.size <= count; });
         if (!canFormReplica) {
             stageSpares(service, key.second, spares, servers, now);
+            preloadSpares(spares, servers, now);
         }
     }
+    preloader_.expire(now);
 }
 
 /// Starts the next replica of a domain and removes its members from the free servers. Returns false when no replica fits or the limit
@@ -244,6 +246,11 @@
     return models;
 }
 
+std::uint64_t ReplicaController::nextEpoch()
+{
+    return (term_ << EpochsPerTermBits) + ++lastSerial_;
+}
+
 bool ReplicaController::startReplica(const ServiceSpec &service,
                                      const FabricDomainId &domain,
                                      const Composition &composition,
@@ -257,7 +264,7 @@
         loadLimiter_.recordStarts(composition.loadsFromStoreCount, now);
     }
     ReplicaPlan plan;
-    plan.epoch = (term_ << EpochsPerTermBits) + ++lastSerial_;
+    plan.epoch = nextEpoch();
     plan.id = ReplicaId("r" + std::to_string(plan.epoch));
     plan.service = service.id;
     plan.domain = domain;
@@ -318,6 +325,18 @@
     }
 }
 
+void ReplicaController::preloadSpares(std::span<const FreeServer> spares, const ServerMap &servers, TimePoint now)
+{
+    for (const auto &spare : spares) {
+        const auto &server = servers.at(spare.id);
+        const auto model = stagings_.contains(spare.id) ? ModelId() : preloader_.takeDue(spare, server, now);
+        if (!model.isEmpty()) {
+            const auto epoch = nextEpoch();
+            orders_.push_back({OrderKind::Join, spare.id, server.address, SparePreloader::replicaId(epoch), epoch, model, {spare.id}, term_});
+        }
+    }
+}
+
 void ReplicaController::removeEndedStagings(const ServerMap &servers, TimePoint now)
 {
     std::erase_if(stagings_, [&](const auto &entry) {
--- a/tests/fleet/replica_controller_test.cpp
+++ b/tests/fleet/replica_controller_test.cpp
@@ -21,6 +21,12 @@
 const ModelId Small("small");
 constexpr Duration Step = milliseconds(150);
 
+/// Whether the server is in no replica with others.
+bool isSpare(const BackendServer &server)
+{
+    return !server.membership || SparePreloader::isOwnReplica(server.membership->replica);
+}
+
 /// Runs a controller against simulated servers over a network that can delay orders.
 class ControllerRun
 {
@@ -151,8 +157,7 @@
     for (const auto &id : run.servers.ids()) {
         const auto &state = run.servers.state(id);
         const bool isMember = state.membership && state.membership->replica == replica;
-        const bool isSpare = state.domain == domain && !state.membership;
-        if (isMember || isSpare) {
+        if (isMember || (state.domain == domain && isSpare(state))) {
             run.servers.fail(id, ServerFault::PoweredOff, run.now);
         }
     }
@@ -194,6 +199,36 @@
     EXPECT_EQ(run.servers.loads(), loads);
 }
 
+// Guards against a repair in which all members wait until the spare has loaded the weights from its host.
+TEST(ReplicaController, sparesLoadTheWeightsBeforeTheyAreNeeded)
+{
+    ControllerRun run;
+    run.run(seconds(60));
+    run.startTraffic();
+    const auto member = run.memberOf(run.headOf(Large), 2);
+    const auto startedAt = run.servers.state(member).startedAt;
+    run.servers.fail(member, ServerFault::PoweredOff, run.now);
+    run.controller.recordUnresponsive(member, startedAt, run.now);
+    run.run(milliseconds(1200)); // less than the load from the host takes
+    EXPECT_EQ(run.servers.servingReplicas(Large), 2U);
+    EXPECT_THAT(run.servers.violations(), IsEmpty());
+}
+
+// Guards against a new holder of the lease that takes the replica of a single spare for one with lost members, and cannot use the spare.
+TEST(ReplicaController, newHolderUsesSparesThatHaveLoadedTheWeights)
+{
+    ControllerRun run;
+    run.run(seconds(60));
+    run.startTraffic();
+    run.restart(2);
+    run.run(seconds(3));
+    const auto member = run.memberOf(run.headOf(Large), 2);
+    run.servers.fail(member, ServerFault::PoweredOff, run.now);
+    run.run(SimulatedServers::LapseTime + milliseconds(1800));
+    EXPECT_EQ(run.servers.servingReplicas(Large), 2U);
+    EXPECT_THAT(run.servers.violations(), IsEmpty());
+}
+
 // Guards against a repair that waits for the registration of a lost member to lapse although a probe went unanswered.
 TEST(ReplicaController, repairsAfterUnansweredProbeBeforeRegistrationLapses)
 {
@@ -521,7 +556,7 @@
     const auto survivor = run.memberOf(head, 5);
     for (const auto &id : run.servers.ids()) {
         const auto &state = run.servers.state(id);
-        const bool isLost = state.loadedModel != Small && id != head && id != survivor;
+        const bool isLost = (isSpare(state) || state.loadedModel != Small) && id != head && id != survivor;
         if (isLost) {
             run.servers.fail(id, ServerFault::PoweredOff, run.now);
         }
@@ -623,7 +658,7 @@
     run.run(seconds(40));
     for (const auto &id : run.servers.ids()) {
         const auto &state = run.servers.state(id);
-        if (state.membership) {
+        if (!isSpare(state)) {
             EXPECT_THAT(state.stagedModels, UnorderedElementsAre(Large, Small)) << id.str();
         }
     }
