--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -137,7 +137,9 @@
         } else if (options_.scenario == "silent-store") {
             co_await silentStore();
         } else if (options_.scenario == "deadly-request") {
-            co_await deadlyRequest();
+            co_await deadlyRequest(0, options_.variant != "alone");
+        } else if (options_.scenario == "late-deadly-request") {
+            co_await deadlyRequest(options_.variant == "early" ? 3 : 14, false);
         } else {
             result_ = CouldNotRun;
         }
@@ -340,8 +342,9 @@
                 .headers = {{"Carawaypoint-Model", "model-a"}, {"Carawaypoint-Token-Usage", "340,80"}, {"Carawaypoint-Prompt-Prefix", parts}}};
     }
 
-    /// BUDGET: a request that crashes its runners comes again and again, while other requests of its session are served.
-    asio::awaitable<void> deadlyRequest()
+    /// BUDGET: a request that crashes its runners comes again and again. @p events: how many of its events a runner makes before it crashes.
+    /// @p hasSession: other requests of its session are served beside it.
+    asio::awaitable<void> deadlyRequest(unsigned events, bool hasSession)
     {
         static const std::string Parts = "aa01:40,5e55:300";
         static const std::string Body = "the turn that crashes its runner";
@@ -365,13 +368,13 @@
         isLoading_ = true;
         for (unsigned number = 0; number < GatewayCount; ++number) {
             asio::co_spawn(io_, loadStreams(number, "", 200ms), asio::detached);
-            if (options_.variant != "alone") {
+            if (hasSession) {
                 asio::co_spawn(io_, loadStreams(number, Parts, 300ms), asio::detached);
             }
         }
         co_await sleepFor(4s);
         if (options_.hasTrouble) {
-            fleet.setDeadlyBody(Body);
+            fleet.setDeadlyBody(Body, events);
         }
         for (unsigned count = 0; count < 20; ++count) {
             const auto id = "d" + std::to_string(count);
--- a/review/standins-2/model_runner.cpp
+++ b/review/standins-2/model_runner.cpp
@@ -168,12 +168,18 @@
         co_return;
     }
     fleet_.runs_.push_back({attempt, id_, fleet_.service_, Clock::now()});
-    if (isCrashing) {
+    if (isCrashing && fleet_.deadlyEvents_ == 0) {
         crash(attempt);
         co_return;
     }
     co_await exchange.startStream(headers);
-    for (unsigned event = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1; event <= EventsPerStream; ++event) {
+    const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
+    const unsigned last = isCrashing ? EventsPerLongStream : EventsPerStream;
+    for (unsigned event = first; event <= last; ++event) {
+        if (isCrashing && event - first >= fleet_.deadlyEvents_) {
+            crash(attempt);
+            co_return;
+        }
         auto waited = 0ms;
         while (isAlive_ && life_ == life && group_ && group_->epoch == epoch && !isComplete() && waited < StallTime) {
             co_await sleepFor(50ms);
@@ -188,7 +194,7 @@
             co_return;
         }
         co_await exchange.sendChunk("id: " + std::to_string(event) + "\ndata: " + attempt + " piece " + std::to_string(event) + "\n\n");
-        co_await sleepFor(60ms);
+        co_await sleepFor(EventTime);
     }
     co_await exchange.endStream();
 }
--- a/review/standins-2/model_runner.h
+++ b/review/standins-2/model_runner.h
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds RejoinTime{200}; // of the model of the last group
 constexpr std::chrono::milliseconds CrashRestartTime{3000}; // a runner that crashed is back after some seconds
 constexpr unsigned EventsPerStream = 10;
+constexpr unsigned EventsPerLongStream = 45;
+constexpr std::chrono::milliseconds EventTime{60};
 
 /// A crash of a runner by a request.
 struct Crash {
@@ -88,10 +90,11 @@
     {
     }
     void add(unsigned number, const std::string &domain, const asio::ip::tcp::endpoint &endpoint);
-    /// Requests with this body crash the head that begins to run them.
-    void setDeadlyBody(std::string body)
+    /// Requests with this body have long answers and crash the head that runs them once it has made @p events of their events.
+    void setDeadlyBody(std::string body, unsigned events)
     {
         deadlyBody_ = std::move(body);
+        deadlyEvents_ = events;
     }
     const std::vector<Crash> &crashes() const
     {
@@ -109,6 +112,7 @@
     std::vector<Run> &runs_;
     std::string service_;
     std::string deadlyBody_;
+    unsigned deadlyEvents_ = 0;
     std::vector<Crash> crashes_;
     std::vector<std::unique_ptr<ModelRunner>> runners_;
 };
