--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <random>
 #include <set>
+#include <sstream>
 #include <unistd.h>
 
 namespace review
@@ -136,6 +137,8 @@
             co_await foreignEntry();
         } else if (options_.scenario == "silent-store") {
             co_await silentStore();
+        } else if (options_.scenario == "incomplete-entry") {
+            co_await incompleteEntry();
         } else if (options_.scenario == "deadly-request") {
             co_await deadlyRequest(0, options_.variant != "alone");
         } else if (options_.scenario == "late-deadly-request") {
@@ -270,6 +273,60 @@
         record_.line("runners that get requests again: " + std::to_string(used.size()));
     }
 
+    /// DENIED: an incomplete entry of another writer names the service of a route and the address of a server that is no runner.
+    asio::awaitable<void> incompleteEntry()
+    {
+        const auto other = endpointAt(90, 9000);
+        std::vector<std::string> received;
+        const auto otherServer = std::make_shared<HttpListener>(io_.get_executor(), other, [&received](HttpExchange &exchange) -> asio::awaitable<void> {
+            received.push_back(exchange.header("Carawaypoint-Attempt-Id"));
+            co_await exchange.respond(404, R"({"error":"no such page"})");
+        });
+        otherServer->start();
+        store_.put("config", "main", makeConfig(7, json::array{makeRoute("/b/", "non_idempotent", "booking", 2)}, {"booking"}));
+        for (unsigned count = 0; count < 3; ++count) {
+            addRunner("booking");
+        }
+        if (!co_await startGateways()) {
+            result_ = CouldNotRun;
+            co_return;
+        }
+        co_await sleepFor(3s);
+        startLoad("POST", "/b/", 25ms);
+        co_await sleepFor(3s);
+        const std::vector<std::string> variants =
+            options_.variant.empty() ? std::vector<std::string>{"missing", "types"} : std::vector<std::string>{options_.variant};
+        for (const auto &variant : variants) {
+            const auto from = received.size();
+            std::ostringstream spec;
+            spec << R"({"service":"booking","address":")" << other << R"(","zone":"z-a","slots":26,"state":"ready")";
+            // Missing: version, cold_ms and seq. Of another type: the same three.
+            spec << (variant == "missing" ? "}" : R"(,"version":2,"cold_ms":"none","seq":[]})");
+            if (options_.hasTrouble) {
+                store_.put("servers", "other-writer", spec.str());
+                record_.line("the entry of another writer is in the store: " + spec.str());
+            }
+            co_await sleepFor(10s);
+            store_.remove("servers", "other-writer");
+            record_.line("the entry is removed; requests of clients that the server which is no runner has received: " + std::to_string(received.size() - from));
+            co_await sleepFor(3s);
+        }
+        isLoading_ = false;
+        co_await sleepFor(2500ms);
+        recordTotals();
+        std::set<std::string> ran;
+        for (const auto &run : runs_) {
+            ran.insert(run.attempt);
+        }
+        unsigned denied = 0;
+        for (const auto &[id, attempt] : attempts_) {
+            denied += attempt.status / 100 == 4 && !ran.contains(id) ? 1 : 0;
+        }
+        const auto allowed = 5 + attempts_.size() / 500;
+        record_.line("proper requests that ended with a 4xx which no runner gave: " + std::to_string(denied) + ", allowed: " + std::to_string(allowed));
+        result_ = denied > allowed ? RuleBroken : 0;
+    }
+
     /// CONFIG: open connections to the store go silent for good; new ones work.
     asio::awaitable<void> silentStore()
     {
