Format the stand-ins of the second review and mend their lint

Cause: scripts/lint checks every source file of the repository. Done: clang-format, and the four findings of clang-tidy. Measured: scripts/lint finds nothing in review/standins-2.

--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -21,6 +21,7 @@
 constexpr int RuleBroken = 1;
 constexpr int CouldNotRun = 2;
 constexpr unsigned GatewayCount = 3;
+constexpr std::uint64_t FirstOwnPart = 100000; // ids of prompt parts that one request has alone
 
 struct Options {
     std::string scenario;
@@ -100,8 +101,9 @@
     {
         while (isLoading_) {
             const auto id = "c" + std::to_string(++attemptCount_);
-            asio::co_spawn(io_, sendRequest(gateways_[number]->callers(),
-                                           {.method = method, .path = path + id, .id = id, .body = method == "POST" ? "request " + id : "", .headers = {}}),
+            asio::co_spawn(io_,
+                           sendRequest(gateways_[number]->callers(),
+                                       {.method = method, .path = path + id, .id = id, .body = method == "POST" ? "request " + id : "", .headers = {}}),
                            [this, number](const std::exception_ptr &, Attempt attempt) {
                                attempt.gateway = number;
                                attempts_[attempt.id] = attempt;
@@ -218,8 +220,8 @@
             sent += counts ? 1 : 0;
             served += counts && attempt.status == 200 ? 1 : 0;
         }
-        record_.line("ready gateways: " + std::to_string(ready) + "; requests sent later than recovery_s after the restart: " + std::to_string(sent) +
-                     ", served: " + std::to_string(served));
+        record_.line("ready gateways: " + std::to_string(ready) + "; requests sent later than recovery_s after the restart: " + std::to_string(sent)
+                     + ", served: " + std::to_string(served));
         result_ = 4 * served < sent ? RuleBroken : result_;
     }
 
@@ -251,9 +253,9 @@
             record_.line("request " + id + " was at work when " + leaving.id() + " ended; its client got " + std::to_string(status));
             lost += status / 100 != 2 ? 1 : 0;
         }
-        record_.line("requests that reached " + leaving.id() + " later than drain_ms after the acknowledgement: " + std::to_string(late) +
-                     (late > 0 ? ", the last after " + std::to_string(std::chrono::duration<double>(last - leaving.drainingSince()).count()) + " s" : "") +
-                     "; lost with it: " + std::to_string(lost));
+        record_.line("requests that reached " + leaving.id() + " later than drain_ms after the acknowledgement: " + std::to_string(late)
+                     + (late > 0 ? ", the last after " + std::to_string(std::chrono::duration<double>(last - leaving.drainingSince()).count()) + " s" : "")
+                     + "; lost with it: " + std::to_string(lost));
         result_ = late > 0 ? RuleBroken : result_;
         if (options_.hasTrouble) {
             store_.remove("servers", "other-writer");
@@ -308,7 +310,8 @@
             }
             co_await sleepFor(10s);
             store_.remove("servers", "other-writer");
-            record_.line("the entry is removed; requests of clients that the server which is no runner has received: " + std::to_string(received.size() - from));
+            record_.line("the entry is removed; requests of clients that the server which is no runner has received: "
+                         + std::to_string(received.size() - from));
             co_await sleepFor(3s);
         }
         isLoading_ = false;
@@ -365,7 +368,9 @@
             version += 2;
             publish();
             const auto acknowledgedAt = Clock::now();
-            record_.line("version " + std::to_string(version) + " is acknowledged: the route goes from " + former + " to " + serving);
+            std::ostringstream acknowledged;
+            acknowledged << "version " << version << " is acknowledged: the route goes from " << former << " to " << serving;
+            record_.line(acknowledged.str());
             co_await sleepFor(9s);
             const auto bound = std::max(options_.hasTrouble ? silentAt + ContactTime : acknowledgedAt, acknowledgedAt + ConfigApplyTime);
             std::map<unsigned, unsigned> late;
@@ -379,9 +384,9 @@
                 late[found->second.gateway] += found->second.sentAt > bound ? 1 : 0;
             }
             for (const auto &[gateway, at] : last) {
-                record_.line("gateway " + std::to_string(gateway) + ": the last request by the older version was sent " +
-                             std::to_string(std::chrono::duration<double>(at - silentAt).count()) + " s after the start of the round; late ones: " +
-                             std::to_string(late[gateway]));
+                record_.line("gateway " + std::to_string(gateway) + ": the last request by the older version was sent "
+                             + std::to_string(std::chrono::duration<double>(at - silentAt).count())
+                             + " s after the start of the round; late ones: " + std::to_string(late[gateway]));
                 result_ = late[gateway] > 0 ? RuleBroken : result_;
             }
         }
@@ -395,7 +400,7 @@
     {
         while (isLoading_) {
             const auto id = "c" + std::to_string(++attemptCount_);
-            const auto own = parts.empty() ? "aa01:40," + std::to_string(100000 + attemptCount_) + ":300" : parts;
+            const auto own = parts.empty() ? "aa01:40," + std::to_string(FirstOwnPart + attemptCount_) + ":300" : parts;
             asio::co_spawn(io_, sendRequest(gateways_[number]->callers(), makeStream(id, own, "turn " + id)),
                            [this, number](const std::exception_ptr &, Attempt attempt) {
                                attempt.gateway = number;
--- a/review/standins-2/model_runner.cpp
+++ b/review/standins-2/model_runner.cpp
@@ -83,8 +83,16 @@
 {
     std::ostringstream address;
     address << endpoint_;
-    json::object entry{{"service", fleet_.service_}, {"address", address.str()}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 26},
-                       {"state", "ready"},           {"cold_ms", 0},             {"seq", seq_},   {"born", born_},   {"domain", domain_},
+    json::object entry{{"service", fleet_.service_},
+                       {"address", address.str()},
+                       {"zone", "z-a"},
+                       {"version", "v1"},
+                       {"slots", 26},
+                       {"state", "ready"},
+                       {"cold_ms", 0},
+                       {"seq", seq_},
+                       {"born", born_},
+                       {"domain", domain_},
                        {"phase", "colocated"}};
     entry["models"] = model_.empty() ? json::array() : json::array{json::object{{"name", model_}, {"version", 1}, {"adapters", json::array()}}};
     entry["staged"] = json::array(staged_.begin(), staged_.end());
--- a/review/standins-2/small_deployment.cpp
+++ b/review/standins-2/small_deployment.cpp
@@ -31,15 +31,15 @@
     file_ << stamp.str() << text << std::endl;
 }
 
-Store::Store(asio::any_io_executor executor, const tcp::endpoint &endpoint)
+Store::Store(const asio::any_io_executor &executor, const tcp::endpoint &endpoint)
     : listener_(std::make_shared<HttpListener>(executor, endpoint, [this](HttpExchange &exchange) { return handle(exchange); }))
 {
 }
 
 std::string Store::describe(const std::string &name, const Object &object)
 {
-    return R"({"metadata":{"name":)" + json::serialize(json::string(name)) + R"(,"revision":)" + std::to_string(object.revision) +
-           R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" + object.spec + R"(,"status":{}})";
+    return R"({"metadata":{"name":)" + json::serialize(json::string(name)) + R"(,"revision":)" + std::to_string(object.revision)
+        + R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" + object.spec + R"(,"status":{}})";
 }
 
 void Store::put(const std::string &kind, const std::string &name, const std::string &spec)
@@ -169,7 +169,12 @@
     return exists ? 200 : 201;
 }
 
-Runner::Runner(asio::any_io_executor executor, Store &store, Record &record, std::vector<Run> &runs, std::string id, std::string service,
+Runner::Runner(const asio::any_io_executor &executor,
+               Store &store,
+               Record &record,
+               std::vector<Run> &runs,
+               std::string id,
+               std::string service,
                const tcp::endpoint &endpoint)
     : executor_(executor)
     , store_(store)
@@ -178,8 +183,7 @@
     , id_(std::move(id))
     , service_(std::move(service))
     , listener_(std::make_shared<HttpListener>(executor, endpoint, [this](HttpExchange &exchange) { return handle(exchange); }))
-    , born_(static_cast<std::uint64_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
+    , born_(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
 {
 }
 
@@ -194,8 +198,11 @@
 {
     std::ostringstream address;
     address << listener_->endpoint();
-    const json::object entry{{"service", service_}, {"address", address.str()}, {"zone", "z-a"}, {"version", "v1"},   {"slots", 26},
-                             {"state", isDraining_ ? "draining" : "ready"},     {"cold_ms", 0},  {"seq", ++seq_}, {"born", born_}};
+    const json::object entry{{"service", service_}, {"address", address.str()},
+                             {"zone", "z-a"},       {"version", "v1"},
+                             {"slots", 26},         {"state", isDraining_ ? "draining" : "ready"},
+                             {"cold_ms", 0},        {"seq", ++seq_},
+                             {"born", born_}};
     store_.put("servers", id_, json::serialize(entry));
 }
 
@@ -254,14 +261,20 @@
     co_await exchange.respond(200, R"({"done":")" + attempt + "\"}", headers);
 }
 
-Gateway::Gateway(std::string binary, std::string folder, unsigned number, const std::string &address, const std::string &zone, const tcp::endpoint &store)
+Gateway::Gateway(std::string binary,
+                 const std::string &folder,
+                 unsigned number,
+                 const std::string &address,
+                 const std::string &zone,
+                 const tcp::endpoint &store)
     : binary_(std::move(binary))
     , settingsPath_(folder + "/gateway-" + std::to_string(number) + ".ini")
     , logPath_(folder + "/gateway-" + std::to_string(number) + ".log")
     , address_(address)
 {
     // deploy/gateway.ini with the values of a small deployment.
-    std::ofstream(settingsPath_) << "[process]\nid = edge-" << number << "\nzone = " << zone << "\nmax_descriptors = 4200\nmemory_mb = 260\nlink_mbps = 1000.0\n"
+    std::ofstream(settingsPath_) << "[process]\nid = edge-" << number << "\nzone = " << zone
+                                 << "\nmax_descriptors = 4200\nmemory_mb = 260\nlink_mbps = 1000.0\n"
                                  << "[listen]\ncallers = " << address << ":8227\nreadiness = " << address << ":8220\nmetrics = " << address
                                  << ":7340\npeer = " << address << ":7355\nchanges = " << address << ":7340\n[store]\naddress = " << store
                                  << "\n[serving]\ndrain_time = 8s\nstall_time = 6000ms\nretry_share = 0.2\nretry_slack = 132\nretry_window = 10s\n"
@@ -376,36 +389,40 @@
 
 json::object makeRoute(const std::string &prefix, const std::string &kind, const std::string &service, unsigned attempts)
 {
-    return {{"name", "r" + prefix}, {"hostname", "review.example"}, {"path_prefix", prefix}, {"kind", kind},
-            {"timeout_ms", 1000},   {"target_latency_ms", 150},     {"priority", 2},         {"service", service},
-            {"max_attempts", attempts}, {"public", false},          {"sticky", false},       {"resumable", false}};
+    return {
+        {"name", "r" + prefix}, {"hostname", "review.example"}, {"path_prefix", prefix},    {"kind", kind},    {"timeout_ms", 1000}, {"target_latency_ms", 150},
+        {"priority", 2},        {"service", service},           {"max_attempts", attempts}, {"public", false}, {"sticky", false},    {"resumable", false}};
 }
 
 json::object makeStreamRoute(const std::string &prefix, const std::string &service)
 {
-    return {{"name", "r" + prefix}, {"hostname", "review.example"}, {"path_prefix", prefix}, {"kind", "streaming"},
-            {"timeout_ms", 6000},   {"target_latency_ms", 250},     {"priority", 1},         {"service", service},
-            {"max_attempts", 2},    {"public", false},              {"sticky", true},        {"resumable", true},
+    return {{"name", "r" + prefix},  {"hostname", "review.example"},
+            {"path_prefix", prefix}, {"kind", "streaming"},
+            {"timeout_ms", 6000},    {"target_latency_ms", 250},
+            {"priority", 1},         {"service", service},
+            {"max_attempts", 2},     {"public", false},
+            {"sticky", true},        {"resumable", true},
             {"target_gap_ms", 200}};
 }
 
 json::object makeModelService(const std::string &service, const std::string &model)
 {
-    const json::object engine{{"slots", 26},
-                              {"kv_capacity", 2470000},
-                              {"stride", 6},
-                              {"models", json::array{json::object{{"name", model}, {"size", 2}, {"share", 1.0}, {"pace", 1.0}, {"load_s", 1.5}, {"warm_s", 0.4}}}},
-                              {"step_ms", 6.45},
-                              {"per_seq_ms", 0.0967},
-                              {"read_per_s", 56100.0},
-                              {"chunk", 2048},
-                              {"report_lag_ms", 200.0},
-                              {"loads_per_s", 5.5},
-                              {"loads_at_once", 8},
-                              {"usual", json::object{{"prompt", 1115}, {"answer", 152}}},
-                              {"history_limit", 1},
-                              {"far_x", 4.0},
-                              {"form_ms", 300.0}};
+    const json::object engine{
+        {"slots", 26},
+        {"kv_capacity", 2470000},
+        {"stride", 6},
+        {"models", json::array{json::object{{"name", model}, {"size", 2}, {"share", 1.0}, {"pace", 1.0}, {"load_s", 1.5}, {"warm_s", 0.4}}}},
+        {"step_ms", 6.45},
+        {"per_seq_ms", 0.0967},
+        {"read_per_s", 56100.0},
+        {"chunk", 2048},
+        {"report_lag_ms", 200.0},
+        {"loads_per_s", 5.5},
+        {"loads_at_once", 8},
+        {"usual", json::object{{"prompt", 1115}, {"answer", 152}}},
+        {"history_limit", 1},
+        {"far_x", 4.0},
+        {"form_ms", 300.0}};
     return {{"name", service}, {"health_path", "/healthz"}, {"max_conns", 304}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
 }
 
--- a/review/standins-2/small_deployment.h
+++ b/review/standins-2/small_deployment.h
@@ -59,7 +59,7 @@
 class Store
 {
 public:
-    Store(asio::any_io_executor executor, const asio::ip::tcp::endpoint &endpoint);
+    Store(const asio::any_io_executor &executor, const asio::ip::tcp::endpoint &endpoint);
     void start()
     {
         listener_->start();
@@ -121,7 +121,12 @@
 class Runner
 {
 public:
-    Runner(asio::any_io_executor executor, Store &store, Record &record, std::vector<Run> &runs, std::string id, std::string service,
+    Runner(const asio::any_io_executor &executor,
+           Store &store,
+           Record &record,
+           std::vector<Run> &runs,
+           std::string id,
+           std::string service,
            const asio::ip::tcp::endpoint &endpoint);
     void start();
     /// Reports `draining`, serves for @p serviceTime after that and ends.
@@ -174,7 +179,11 @@
 class Gateway
 {
 public:
-    Gateway(std::string binary, std::string folder, unsigned number, const std::string &address, const std::string &zone,
+    Gateway(std::string binary,
+            const std::string &folder,
+            unsigned number,
+            const std::string &address,
+            const std::string &zone,
             const asio::ip::tcp::endpoint &store);
     ~Gateway();
     Gateway(const Gateway &) = delete;
