--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -24,6 +24,10 @@
     {
         return pid_ > 0;
     }
+    pid_t processId() const
+    {
+        return pid_;
+    }
     /// Whether the process started less than 300 ms ago, so that it may not have installed its signal handlers yet.
     bool wasJustStarted() const;
     /// Sends SIGKILL and waits until the process has ended.
--- a/standins/http_listener.cpp
+++ b/standins/http_listener.cpp
@@ -19,6 +19,7 @@
 namespace
 {
 
+constexpr std::uint32_t MaxHeaderBytes = 65536;
 constexpr std::size_t MaxBodyBytes = 4'000'000;
 constexpr std::chrono::milliseconds PausePollInterval{5};
 
@@ -199,6 +200,7 @@
         while (connection->stream.socket().is_open()) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(MaxBodyBytes);
+            parser.header_limit(MaxHeaderBytes);
             co_await http::async_read(connection->stream, buffer, parser, asio::use_awaitable);
             const HttpRequest request = parser.release();
             co_await waitWhilePaused(*connection);
