Bound the memory of requests that are being received

Callers saw connections reset when a gateway exceeded the memory of its VM and was killed. Cause: nothing bounds what a request makes a process store. The limits of Beast's parser do not hold for header fields that arrive in parts, trailer fields and chunk extensions; bodies within the limit have no limit together; and each attempt at a server copied the body.

RequestDecoder bounds each part of a request, and RequestReader counts the memory of all requests together (a fifth of memory_mb). When it is used up, the request that has waited longest for its next bytes gives way with 503, so that unfinished requests do not keep others from being answered. Trailer fields are dropped: merged into the header, they changed a request after it was checked. Input after a refusal is read up to 256 KB. The readiness, metrics and admin addresses and serve use the same decoder.

--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -24,7 +24,9 @@
      .low = 16,
      .high = 1048576,
      .defaultText = "256",
-     .description = "Memory that the process may use. A quarter of it is for incomplete responses of backend servers."},
+     .description =
+         "Memory that the process may use. A quarter of it is for incomplete responses of backend servers, a fifth for requests of callers, and a fifth "
+         "for their connections, at 64 KB each."},
     {.key = "link_mbps",
      .kind = ValueKind::Number,
      .unit = "Mbit/s",
--- a/src/core/connection.cpp
+++ b/src/core/connection.cpp
@@ -1,9 +1,11 @@
 #include "core/connection.h"
 
+#include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <tuple>
 
 namespace carawaypoint
 {
@@ -12,6 +14,7 @@
 {
 // A composed operation may start its next step just after a cancel, so the cancel is repeated until the timeout is removed.
 constexpr auto CancelInterval = milliseconds(10);
+constexpr std::size_t DiscardReadBytes = 4096;
 }
 
 bool isClosedByPeer(asio::ip::tcp::socket &socket)
@@ -90,6 +93,20 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+asio::awaitable<void> Connection::discardInput(Duration time, std::size_t maxBytes)
+{
+    boost::system::error_code error;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    limit(time);
+    std::array<char, DiscardReadBytes> space{};
+    for (std::size_t total = 0; !error && total < maxBytes;) {
+        std::size_t count = 0;
+        std::tie(error, count) = co_await socket_.async_read_some(asio::buffer(space), UseResult);
+        total += count;
+    }
+    unlimit();
+}
+
 void Connection::close()
 {
     boost::system::error_code ignored;
--- a/src/gateway/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -1,4 +1,4 @@
-#include "gateway/memory_budget.h"
+#include "core/memory_budget.h"
 
 namespace carawaypoint
 {
--- a/src/gateway/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -5,9 +5,9 @@
 namespace carawaypoint
 {
 
-/// Limits the memory that responses of backend servers use together while they are incomplete. Used on one thread only.
+/// Limits the memory that many messages use together, such as the requests of all callers. Used on one thread only.
 ///
-/// The largest response times the number of requests exceeds the memory of a small VM.
+/// The largest message times the number of connections exceeds the memory of a small VM.
 class MemoryBudget
 {
 public:
@@ -17,7 +17,7 @@
     {
     }
 
-    /// Memory of one request; returned on destruction.
+    /// Memory of one message; returned on destruction.
     class Reservation
     {
     public:
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -36,6 +36,7 @@
     ResultCodeInfo{ResultCode::CustomerOverShare, "customer_over_share", 429, NotRun, RetryLater},
     ResultCodeInfo{ResultCode::Draining, "draining", 503, NotRun, "retry; the balancer chooses another entry"},
     ResultCodeInfo{ResultCode::NotReady, "not_ready", 503, NotRun, "retry; the balancer chooses another entry"},
+    ResultCodeInfo{ResultCode::RequestMemoryFull, "request_memory_full", 503, NotRun, RetryLater},
     ResultCodeInfo{ResultCode::NoReplicaAvailable, "no_replica_available", 503, NotRun, RetryLater},
     ResultCodeInfo{ResultCode::ReplicaLost, "replica_lost", 502, Unknown, "re-send the request"},
     ResultCodeInfo{ResultCode::AnswerTruncated, "answer_truncated", 502, Unknown, "discard the partial answer and re-send the request"},
--- a/src/core/result_code.h
+++ b/src/core/result_code.h
@@ -35,6 +35,7 @@
     CustomerOverShare = 303,
     Draining = 304,
     NotReady = 305,
+    RequestMemoryFull = 306,
 
     NoReplicaAvailable = 400,
     ReplicaLost = 401,
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -1,5 +1,7 @@
 #include "daemon/admin_server.h"
 
+#include "core/memory_budget.h"
+#include "core/request_decoder.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 
@@ -8,8 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/object.hpp>
@@ -44,6 +45,7 @@
         , limits(usedLimits)
         , acceptor(executor)
         , acceptRetryTimer(executor)
+        , requestMemory(usedLimits.maxRequestMemory)
     {
     }
 
@@ -51,6 +53,7 @@
     AdminLimits limits;
     Tcp::acceptor acceptor;
     asio::steady_timer acceptRetryTimer;
+    MemoryBudget requestMemory; // of bodies that are being received
     std::map<std::pair<std::string, std::string>, Handler> handlers;
     std::set<AdminSession *> sessions;
 };
@@ -66,6 +69,7 @@
         : server_(std::move(server))
         , stream_(std::move(socket))
         , handlerTimer_(server_->executor)
+        , reservation_(server_->requestMemory)
     {
         server_->sessions.insert(this);
     }
@@ -80,12 +84,11 @@
 
     void read()
     {
-        parser_.emplace();
-        parser_->body_limit(server_->limits.maxBodyBytes);
-        parser_->header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
+        decoder_.emplace(RequestLimits{server_->limits.maxHeaderBytes, server_->limits.maxBodyBytes});
+        isHeaderRead_ = false;
         // idleTimeout covers the pause between two requests; the body gets readTimeout of its own after the header.
         stream_.expires_after(isKeptAlive_ ? server_->limits.idleTimeout : server_->limits.readTimeout);
-        http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) { self->readBody(error); });
+        decode();
     }
 
     void close()
@@ -97,14 +100,48 @@
     }
 
 private:
-    void readBody(beast::error_code error)
+    /// Decodes what has arrived, and receives more until the request is complete.
+    void decode()
     {
-        if (error) {
-            answerReadError(error);
-            return;
+        auto error = isHeaderRead_ ? beast::error_code() : decoder_->decodeHeader(buffer_);
+        if (!error && !isHeaderRead_) {
+            isHeaderRead_ = true;
+            stream_.expires_after(server_->limits.readTimeout);
+        }
+        while (!error && !decoder_->isDone()) {
+            error = decoder_->decodeBody(buffer_);
+            if (error == http::error::need_buffer) {
+                error = growBody();
+            }
+        }
+        if (error == http::error::need_more) {
+            receive();
+        } else {
+            dispatch(error);
         }
-        stream_.expires_after(server_->limits.readTimeout);
-        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code bodyError, std::size_t) { self->dispatch(bodyError); });
+    }
+
+    /// Makes room for more of the body. All connections together may not use more than the limit.
+    beast::error_code growBody()
+    {
+        if (!reservation_.resize(decoder_->memoryUseToGrow())) {
+            return make_error_code(boost::system::errc::not_enough_memory);
+        }
+        decoder_->growBody();
+        reservation_.resize(decoder_->memoryUse());
+        return {};
+    }
+
+    void receive()
+    {
+        stream_.async_read_some(buffer_.prepare(decoder_->readSize()), [self = shared_from_this()](beast::error_code error, std::size_t count) {
+            self->buffer_.commit(count);
+            if (error) {
+                self->dispatch(error == asio::error::eof ? http::error::end_of_stream : error);
+            } else {
+                self->decode();
+            }
+        });
     }
 
     void answerReadError(beast::error_code error)
@@ -113,6 +150,9 @@
         if (error == http::error::body_limit || error == http::error::header_limit) {
             closesAfterResponse_ = true;
             write(makeAdminError(ResultCode::RequestTooLarge, "the request is larger than the admin server accepts"));
+        } else if (error == boost::system::errc::not_enough_memory) {
+            closesAfterResponse_ = true;
+            write(makeAdminError(ResultCode::RequestMemoryFull, "too many large requests at once"));
         } else if (error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
                    && error != http::error::partial_message) {
             closesAfterResponse_ = true;
@@ -122,11 +162,12 @@
 
     void dispatch(beast::error_code error)
     {
+        reservation_.resize(0);
         if (error) {
             answerReadError(error);
             return;
         }
-        auto message = parser_->release();
+        auto message = decoder_->release();
         closesAfterResponse_ = !message.keep_alive();
         isAnswered_ = false;
         ++requestSequence_;
@@ -213,7 +254,9 @@
     beast::tcp_stream stream_;
     asio::steady_timer handlerTimer_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<RequestDecoder> decoder_;
+    MemoryBudget::Reservation reservation_;
+    bool isHeaderRead_ = false;
     http::response<http::string_body> response_;
     std::uint64_t requestSequence_ = 0; // number of the current request on this connection
     bool isAnswered_ = false;
--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -41,6 +41,7 @@
     // A configuration of one megabyte can double in size by JSON escapes.
     std::size_t maxBodyBytes = 3'000'000;
     std::size_t maxHeaderBytes = 8'192;
+    std::size_t maxRequestMemory = 16'000'000; // bytes that all requests use together while they are received
     std::size_t maxConnections = 32;
     Duration readTimeout = seconds(10); // receipt of a request header, or of a body
     Duration idleTimeout = seconds(75); // between two requests on a connection; above the usual scrape interval of a minute
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -277,7 +277,8 @@
 
 asio::awaitable<bool> ForwardCall::sendRequest(BackendLink &link, const ServingTarget &target)
 {
-    CallerRequest message(request_.method(), request_.target(), 11);
+    // The body is not copied: each attempt would hold one more copy of it.
+    http::request<http::span_body<const char>> message(request_.method(), request_.target(), 11);
     message.method_string(request_.method_string());
     copyEndToEndFields(request_, message);
     message.erase(http::field::authorization);
@@ -294,7 +295,7 @@
     if (lastEventId_ && hasEvents_) {
         message.set("Last-Event-Id", std::to_string(*lastEventId_));
     }
-    message.body() = request_.body();
+    message.body() = {request_.body().data(), request_.body().size()};
     const bool hasBody = !request_.body().empty() || request_.has_content_length() || request_.chunked();
     if (hasBody) {
         message.content_length(request_.body().size());
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -382,10 +382,7 @@
     }
     fields.set(http::field::content_type, "application/json");
     if (impliesNotRun(status) && retryAfter_.count() > 0) {
-        // Adds up to half of the time as jitter, so that callers do not retry at the same time.
-        std::uniform_real_distribution<double> jitter(1.0, 1.5);
-        const auto afterMs = static_cast<std::int64_t>(static_cast<double>(inMilliseconds(retryAfter_)) * jitter(context_.random));
-        fields.set(http::field::retry_after, std::to_string(afterMs / 1000) + "." + std::to_string(afterMs % 1000 / 100));
+        fields.set(http::field::retry_after, retryAfterText(retryAfter_, context_.random));
     }
     auto text = responseHead(fields, status, http::obsolete_reason(static_cast<http::status>(status)));
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,8 @@
 
 #include "config/gateway_settings.h"
 #include "core/clock.h"
+#include "core/memory_budget.h"
+#include "core/request_reader.h"
 #include "gateway/backend_connection_pool.h"
 #include "gateway/backend_load_tracker.h"
 #include "gateway/count_age.h"
@@ -9,7 +11,6 @@
 #include "gateway/drain_schedule.h"
 #include "gateway/fleet_demand.h"
 #include "gateway/fleet_retry_budget.h"
-#include "gateway/memory_budget.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_detector.h"
 #include "gateway/server_statements.h"
@@ -24,20 +25,27 @@
 namespace carawaypoint
 {
 
-/// Share of the process's memory for incomplete responses; the rest is for requests, connections and the state of the fleet.
+/// Shares of the process's memory; the rest is for connections and the state of the fleet.
 inline constexpr double ResponseMemoryShare = 0.25;
+inline constexpr double RequestMemoryShare = 0.2;
 
 /// State shared by the sessions of a gateway. Used on the traffic thread only.
 struct GatewayContext {
     GatewayContext(GatewaySettings processSettings, const WireNames &wireNames)
         : settings(std::move(processSettings))
         , names(wireNames)
-        , responseMemory(static_cast<std::size_t>(settings.memoryMb * ResponseMemoryShare * 1024 * 1024))
+        , responseMemory(memoryShare(ResponseMemoryShare))
+        , requestMemory(memoryShare(RequestMemoryShare))
         , quarantine(settings.quarantineTime)
         , retryBudget({settings.retryShare, settings.retrySlack, settings.retryWindow})
     {
     }
 
+    /// A share of the process's memory in bytes.
+    std::size_t memoryShare(double share) const
+    {
+        return static_cast<std::size_t>(settings.memoryMb * share * 1024 * 1024);
+    }
     TimePoint now() const
     {
         return clock.now();
@@ -53,6 +61,7 @@
     FleetDemand demand;
     CountAge countAge; // of other gateways' requests
     MemoryBudget responseMemory;
+    RequestMemory requestMemory;
     CrashQuarantine quarantine;
     ServerStatements serverStatements;
     FleetRetryBudget retryBudget;
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -2,13 +2,15 @@
 
 #include "gateway/gateway_server.h"
 #include "gateway/http_fields.h"
+#include "gateway/retry_after.h"
 #include "observe/log.h"
+#include "observe/metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <exception>
+#include <tuple>
 
 namespace carawaypoint
 {
@@ -22,6 +24,7 @@
 constexpr Duration BodyTimeout = seconds(10);
 /// Time for a caller to read the last response before its connection is closed with unread input.
 constexpr Duration LingerTimeout = milliseconds(500);
+constexpr std::size_t MaxDiscardedBytes = std::size_t{256} * 1024; // input after a request that was answered with an error
 /// A caller that does not acknowledge data for this long counts as gone.
 constexpr Duration CallerUserTimeout = seconds(10);
 
@@ -66,14 +69,13 @@
             connection_->close();
             co_return;
         }
-        Parser parser;
-        const bool isRead = co_await readRequest(parser);
+        RequestReader reader(*connection_, context_.requestMemory, {limits().maxHeaderBytes, limits().maxBodyBytes});
+        const bool isRead = co_await readRequest(reader);
         if (!isRead) {
-            co_await discardInput();
             connection_->close();
             co_return;
         }
-        const auto call = std::make_shared<ForwardCall>(context_, connection_, parser.release(), receivedAt_);
+        const auto call = std::make_shared<ForwardCall>(context_, connection_, reader.release(), receivedAt_);
         call_ = call;
         watchCaller(call);
         isKept = co_await forward(call);
@@ -116,51 +118,45 @@
     }
 }
 
-asio::awaitable<bool> GatewaySession::readRequest(Parser &parser)
+asio::awaitable<bool> GatewaySession::readRequest(RequestReader &reader)
 {
-    const auto bounds = limits();
-    parser.header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
-    parser.body_limit(bounds.maxBodyBytes);
-    connection_->limit(bounds.headerTimeout);
-    const auto [error, bytes] = co_await http::async_read_header(connection_->socket(), connection_->buffer(), parser, UseResult);
+    connection_->limit(limits().headerTimeout);
+    auto error = co_await reader.readHeader();
     connection_->unlimit();
-    if (error == http::error::header_limit) {
-        co_await sendErrorResponse(431, ResultCode::HeaderTooLarge);
-        co_return false;
+    if (!error && boost::beast::iequals(reader.header()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        connection_->limit(LingerTimeout);
+        std::tie(error, std::ignore) = co_await asio::async_write(connection_->socket(), asio::buffer(Continue), UseResult);
+        connection_->unlimit();
     }
-    if (error == http::error::body_limit) {
-        co_await sendErrorResponse(413, ResultCode::RequestTooLarge);
-        co_return false;
+    if (!error) {
+        connection_->limit(BodyTimeout);
+        error = co_await reader.readBody();
+        connection_->unlimit();
     }
     if (error) {
-        if (connection_->isTimedOut()) {
-            co_await sendErrorResponse(408, ResultCode::RequestTooSlow);
-        } else if (!isConnectionLost(error)) {
-            co_await sendErrorResponse(400, ResultCode::MalformedRequest);
-        }
-        co_return false;
+        co_await refuse(error, reader);
     }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        const auto [writeError, count] = co_await asio::async_write(connection_->socket(), asio::buffer(Continue), UseResult);
-        if (writeError) {
-            co_return false;
-        }
-    }
-    if (parser.is_done()) {
-        co_return true;
+    co_return !error;
+}
+
+/// Answers a request that was not received, and waits until the caller has the answer. None of these requests has run.
+asio::awaitable<void> GatewaySession::refuse(const boost::system::error_code &error, const RequestReader &reader)
+{
+    if (error == boost::system::errc::not_enough_memory) {
+        co_await sendErrorResponse(ResultCode::RequestMemoryFull);
+    } else if (error == http::error::header_limit) {
+        co_await sendErrorResponse(ResultCode::HeaderTooLarge);
+    } else if (error == http::error::body_limit) {
+        co_await sendErrorResponse(ResultCode::RequestTooLarge);
+    } else if (connection_->isTimedOut()) {
+        co_await sendErrorResponse(ResultCode::RequestTooSlow);
+    } else if (!isConnectionLost(error)) {
+        co_await sendErrorResponse(ResultCode::MalformedRequest);
+    }
+    if (!reader.mustCloseAtOnce()) {
+        co_await connection_->discardInput(LingerTimeout, MaxDiscardedBytes);
     }
-    connection_->limit(BodyTimeout);
-    const auto [bodyError, bodyBytes] = co_await http::async_read(connection_->socket(), connection_->buffer(), parser, UseResult);
-    connection_->unlimit();
-    if (bodyError == http::error::body_limit) {
-        co_await sendErrorResponse(413, ResultCode::RequestTooLarge);
-    } else if (bodyError && connection_->isTimedOut()) {
-        co_await sendErrorResponse(408, ResultCode::RequestTooSlow);
-    } else if (bodyError && !isConnectionLost(bodyError)) {
-        co_await sendErrorResponse(400, ResultCode::MalformedRequest);
-    }
-    co_return !bodyError;
 }
 
 /// Runs the call. A caller whose request fails with an exception still gets a response, unless part of one was sent. Returns whether the
@@ -173,16 +169,22 @@
         logLine(LogLevel::Error, "request failed with an unexpected error", {{"request", call->requestId()}, {"error", error.what()}});
     }
     if (!call->hasSentResponse()) {
-        co_await sendErrorResponse(500, ResultCode::Internal);
+        co_await sendErrorResponse(ResultCode::Internal);
     }
     co_return false;
 }
 
-asio::awaitable<void> GatewaySession::sendErrorResponse(unsigned status, ResultCode code)
+asio::awaitable<void> GatewaySession::sendErrorResponse(ResultCode code)
 {
+    const auto status = resultCodeInfo(code).httpStatus;
+    metricsRegistry().count(CounterMetric::UnreadRequests, resultCodeName(code));
     logLine(LogLevel::Info, "request answered with an error", {{"status", status}, {"result", resultCodeName(code)}});
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\nContent-Length: 0\r\nConnection: close\r\n";
+    if (code == ResultCode::RequestMemoryFull) {
+        text += "Retry-After: " + retryAfterText(RetryAfterFull, context_.random) + "\r\n";
+    }
+    text += "\r\n";
     connection_->limit(LingerTimeout);
     co_await asio::async_write(connection_->socket(), asio::buffer(text), UseResult);
     connection_->unlimit();
@@ -210,26 +212,6 @@
     }
 }
 
-/// Reads the rest of a request that was answered with an error: closing a socket with unread bytes would reset the connection, and the
-/// caller could lose the response.
-asio::awaitable<void> GatewaySession::discardInput()
-{
-    boost::system::error_code ignored;
-    connection_->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    if (ignored) {
-        co_return;
-    }
-    std::array<char, 1024> space{};
-    connection_->limit(LingerTimeout);
-    while (true) {
-        const auto [error, bytes] = co_await connection_->socket().async_read_some(asio::buffer(space), UseResult);
-        if (error) {
-            break;
-        }
-    }
-    connection_->unlimit();
-}
-
 /// Gives the caller time to read the last response. Bytes that it sends after that are not read: they may be a request, which would then
 /// neither be answered nor count as not read.
 asio::awaitable<void> GatewaySession::waitForPeerToClose()
--- a/src/gateway/gateway_session.h
+++ b/src/gateway/gateway_session.h
@@ -46,17 +46,15 @@
     }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     asio::awaitable<void> serveRequests();
     CallerLimits limits() const;
     asio::awaitable<bool> waitForRequest();
     asio::awaitable<void> waitWhileIdle();
-    asio::awaitable<bool> readRequest(Parser &parser);
+    asio::awaitable<bool> readRequest(RequestReader &reader);
+    asio::awaitable<void> refuse(const boost::system::error_code &error, const RequestReader &reader);
     asio::awaitable<bool> forward(const std::shared_ptr<ForwardCall> &call);
-    asio::awaitable<void> sendErrorResponse(unsigned status, ResultCode code);
+    asio::awaitable<void> sendErrorResponse(ResultCode code);
     void watchCaller(const std::shared_ptr<ForwardCall> &call);
-    asio::awaitable<void> discardInput();
     asio::awaitable<void> waitForPeerToClose();
 
     GatewayContext &context_;
--- a/src/gateway/retry_after.h
+++ b/src/gateway/retry_after.h
@@ -1,6 +1,11 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/time_units.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
 
 namespace carawaypoint
 {
@@ -16,4 +21,12 @@
 /// When the server of the request was lost: other servers can serve it.
 inline constexpr Duration RetryAfterServerLoss = milliseconds(400);
 
+/// The value of a Retry-After field, in seconds: @p time and up to half of it as jitter, so that callers do not retry at the same time.
+inline std::string retryAfterText(Duration time, std::mt19937_64 &random)
+{
+    std::uniform_real_distribution<double> jitter(1.0, 1.5);
+    const auto tenths = static_cast<std::int64_t>(inSeconds(time) * jitter(random) * 10);
+    return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
+}
+
 }
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -16,11 +16,16 @@
 
 constexpr int Backlog = 32;
 constexpr Duration IdleTimeout = seconds(20);
+/// Connections to both addresses together. Beyond them, the one that has been silent for longest is closed.
+constexpr unsigned MaxConnections = 64;
+constexpr RequestLimits Limits{.maxHeaderBytes = 8192, .maxBodyBytes = 0};
+constexpr std::size_t MaxRequestMemory = std::size_t{2} * 1024 * 1024; // bytes
 
 }
 
 StatusServer::StatusServer(asio::io_context &io)
     : io_(io)
+    , requestMemory_(MaxRequestMemory)
 {
 }
 
@@ -66,7 +71,8 @@
         if (error == asio::error::operation_aborted) {
             break;
         }
-        if (!error) {
+        const bool hasRoom = connectionCount_ < MaxConnections || requestMemory_.arriving.makeRoom(ArrivingRequests::Shortage::Descriptors);
+        if (!error && hasRoom) {
             auto connection = std::make_shared<Connection>(std::move(socket));
             asio::co_spawn(io_, serve(std::move(connection), page), asio::detached);
         }
@@ -75,14 +81,19 @@
 
 asio::awaitable<void> StatusServer::serve(ConnectionPtr connection, Page page)
 {
+    ++connectionCount_;
     bool isKept = true;
     while (isKept) {
-        http::request<http::empty_body> request;
+        RequestReader reader(*connection, requestMemory_, Limits);
         connection->limit(IdleTimeout);
-        const auto [error, bytes] = co_await http::async_read(connection->socket(), connection->buffer(), request, UseResult);
+        auto error = co_await reader.readHeader();
+        if (!error) {
+            error = co_await reader.readBody();
+        }
         if (error) {
             break;
         }
+        const auto request = reader.release();
         const bool isKnown = request.target() == page.path;
         const Answer answer = isKnown ? page.handler() : Answer{404, "unknown path\n"};
         http::response<http::string_body> response(static_cast<http::status>(answer.status), request.version());
@@ -94,6 +105,7 @@
         isKept = !writeError && response.keep_alive();
     }
     connection->close();
+    --connectionCount_;
 }
 
 }
--- a/src/gateway/status_server.h
+++ b/src/gateway/status_server.h
@@ -2,6 +2,7 @@
 
 #include "core/connection.h"
 #include "core/ids.h"
+#include "core/request_reader.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -42,6 +43,8 @@
     asio::awaitable<void> serve(ConnectionPtr connection, Page page);
 
     asio::io_context &io_;
+    RequestMemory requestMemory_;
+    unsigned connectionCount_ = 0;
     bool isReady_ = false;
 };
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -37,6 +37,7 @@
     {"carawaypoint_crash_evidence_total", "source",
      "Requests lost with their servers before an answer (own), and reports of other daemons with such evidence (peer)"},
     {"carawaypoint_server_statements_total", "statement", "Responses in which a backend server states that it leaves or accepts no requests for a time"},
+    {"carawaypoint_unread_requests_total", "code", "Requests that a gateway refused before it had read them"},
 };
 // In the order of GaugeMetric.
 constexpr MetricInfo GaugeInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -30,6 +30,7 @@
     IgnoredServerLoads, // reason: malformed
     CrashEvidence, // source: own, peer
     ServerStatements, // statement: leaving, deferred, malformed
+    UnreadRequests, // code: name of the result code
 };
 
 /// Gauges. The comment names the label and, after a colon, its values.
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -6,8 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 namespace carawaypoint
@@ -19,9 +18,10 @@
 {
 
 constexpr std::size_t ReadBufferBytes = 4UL * 1024;
-constexpr std::size_t MaxDiscardedBytes = 256UL * 1024; // input discarded by lingeringClose()
+constexpr std::size_t MaxDiscardedBytes = 256UL * 1024; // input after a request that was refused
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr auto LingerTimeout = seconds(1);
+constexpr auto RetryAfterFull = seconds(1); // when the memory for requests is used up
 
 /// Counts a request in FrontEndContext::requestsInProgress from its arrival until its answer was written.
 class RequestCountGuard
@@ -87,7 +87,8 @@
     while (co_await waitForInput()) {
         const RequestCountGuard guard(loop_.context);
         arrivedAt_ = loop_.context.dependencies.clock->now();
-        const auto request = co_await readRequest();
+        RequestReader reader(*connection_, loop_.requestMemory, {loop_.context.settings.maxHeaderBytes, loop_.context.settings.maxBodyBytes});
+        const auto request = co_await readRequest(reader);
         if (!request) {
             break;
         }
@@ -119,64 +120,54 @@
     return RequestId(std::to_string(loop_.context.dependencies.processIncarnation) + "-" + std::to_string(requestSequence_));
 }
 
-asio::awaitable<std::unique_ptr<CallerSession::Request>> CallerSession::readRequest()
+asio::awaitable<std::unique_ptr<CallerSession::Request>> CallerSession::readRequest(RequestReader &reader)
 {
     const auto &settings = loop_.context.settings;
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(settings.maxHeaderBytes);
-    parser.body_limit(settings.maxBodyBytes);
     connection_->limit(settings.headerTimeout);
-    auto [error, size] = co_await http::async_read_header(connection_->socket(), connection_->buffer(), parser, UseResult);
+    auto error = co_await reader.readHeader();
     if (!error) {
         connection_->limit(settings.bodyTimeout);
-        std::tie(error, size) = co_await http::async_read(connection_->socket(), connection_->buffer(), parser, UseResult);
+        error = co_await reader.readBody();
     }
     connection_->unlimit();
-    if (!error && parser.get().version() != 11) {
-        co_await refuseAndClose(ResultCode::MalformedRequest, "only HTTP/1.1 is served");
+    if (error) {
+        co_await refuse(error);
         co_return nullptr;
     }
-    if (!error) {
-        auto request = std::make_unique<Request>();
-        request->message = parser.release();
-        request->id = nextRequestId();
-        co_return request;
+    auto request = std::make_unique<Request>();
+    request->message = reader.release();
+    if (request->message.version() != 11) {
+        co_await refuseAndClose(ResultCode::MalformedRequest, "only HTTP/1.1 is served");
+        co_return nullptr;
     }
-    if (connection_->isTimedOut()) {
+    request->id = nextRequestId();
+    co_return request;
+}
+
+/// Answers a request that was not received.
+asio::awaitable<void> CallerSession::refuse(const boost::system::error_code &error)
+{
+    const bool isHttp = error.category() == http::make_error_code(http::error::bad_method).category();
+    if (error == boost::system::errc::not_enough_memory) {
+        co_await refuseAndClose(ResultCode::RequestMemoryFull, "too many large requests at once", RetryAfterFull);
+    } else if (connection_->isTimedOut()) {
         co_await refuseAndClose(ResultCode::RequestTooSlow, "the request did not arrive in time");
-    } else if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow) {
+    } else if (error == http::error::body_limit || error == http::error::header_limit) {
         co_await refuseAndClose(ResultCode::RequestTooLarge, "header or body exceeds its limit");
-    } else if (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
-               && error != http::error::partial_message) {
+    } else if (isHttp && error != http::error::end_of_stream && error != http::error::partial_message) {
         co_await refuseAndClose(ResultCode::MalformedRequest, "the request is not HTTP: " + error.message());
     }
-    co_return nullptr;
 }
 
-asio::awaitable<void> CallerSession::refuseAndClose(ResultCode code, std::string message)
+asio::awaitable<void> CallerSession::refuseAndClose(ResultCode code, std::string message, Duration retryAfter)
 {
     const auto id = nextRequestId();
-    co_await channel_->send(makeErrorReply(code, RunState::NotRun, message), id, false);
+    co_await channel_->send(makeErrorReply(code, RunState::NotRun, message, retryAfter), id, false);
     logLine(LogLevel::Info, "request refused", {{"request", id.str()}, {"code", resultCodeName(code)}, {"reason", message}});
     if (auto *metrics = loop_.context.dependencies.metrics) {
         metrics->onRequestFinished(code, RunState::NotRun, loop_.context.dependencies.clock->now() - arrivedAt_);
     }
-    co_await lingeringClose();
-}
-
-asio::awaitable<void> CallerSession::lingeringClose()
-{
-    // Closing a socket with unread input resets the connection, which can discard the response before the caller reads it.
-    boost::system::error_code error;
-    connection_->socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    connection_->limit(LingerTimeout);
-    std::vector<char> discarded(ReadBufferBytes);
-    for (std::size_t total = 0; !error && total < MaxDiscardedBytes;) {
-        std::size_t size = 0;
-        std::tie(error, size) = co_await connection_->socket().async_read_some(asio::buffer(discarded), UseResult);
-        total += size;
-    }
-    connection_->unlimit();
+    co_await connection_->discardInput(LingerTimeout, MaxDiscardedBytes);
 }
 
 asio::awaitable<bool> CallerSession::sendReply(const Request &request, const Reply &reply)
--- a/src/serving/caller_session.h
+++ b/src/serving/caller_session.h
@@ -26,15 +26,15 @@
     /// Waits for the first byte of the next request; false when the connection ended or exceeded idleTimeout.
     asio::awaitable<bool> waitForInput();
     /// Null when the request was refused or the connection ended.
-    asio::awaitable<std::unique_ptr<Request>> readRequest();
+    asio::awaitable<std::unique_ptr<Request>> readRequest(RequestReader &reader);
+    asio::awaitable<void> refuse(const boost::system::error_code &error);
     /// These functions answer the request; false when the connection must be closed afterwards.
     asio::awaitable<bool> handleRequest(const Request &request);
     asio::awaitable<bool> handleChat(const Request &request);
     asio::awaitable<bool> handleServiceCall(const Request &request);
     asio::awaitable<bool> sendReply(const Request &request, const Reply &reply);
-    asio::awaitable<void> refuseAndClose(ResultCode code, std::string message);
+    asio::awaitable<void> refuseAndClose(ResultCode code, std::string message, Duration retryAfter = {});
     /// Shuts down the sending side and discards input for a short time, so that the caller receives the response.
-    asio::awaitable<void> lingeringClose();
     RequestId nextRequestId();
 
     TrafficLoop &loop_;
--- a/src/serving/front_end_settings.h
+++ b/src/serving/front_end_settings.h
@@ -15,6 +15,7 @@
 
     std::uint32_t maxHeaderBytes = 16 * 1024; // header of a request
     std::uint64_t maxBodyBytes = 1024UL * 1024; // body of a request
+    std::size_t maxRequestMemory = 32UL * 1024 * 1024; // requests of all callers together, per thread
     std::size_t maxAnswerBytes = 8UL * 1024 * 1024; // buffered answer of a plain service or of a request without streaming
     std::size_t maxEventBytes = 64UL * 1024; // one server-sent event from an engine
 
--- a/src/serving/traffic_loop.h
+++ b/src/serving/traffic_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/request_reader.h"
 #include "serving/connection_pool.h"
 #include "serving/http_front_end.h"
 #include "serving/serving_metrics.h"
@@ -42,6 +43,7 @@
 struct TrafficLoop : std::enable_shared_from_this<TrafficLoop> {
     explicit TrafficLoop(FrontEndContext &shared)
         : context(shared)
+        , requestMemory(shared.settings.maxRequestMemory)
         , pool(io, shared.settings, *shared.dependencies.clock)
     {
     }
@@ -50,6 +52,7 @@
     FrontEndContext &context;
     std::uint32_t callerConnections = 0;
     std::uint32_t cancelsInProgress = 0;
+    RequestMemory requestMemory;
     asio::io_context io{1};
     ConnectionPool pool;
 };
--- a/tests/daemon/admin_server_test.cpp
+++ b/tests/daemon/admin_server_test.cpp
@@ -176,6 +176,17 @@
     EXPECT_THAT(answer, HasSubstr("X-Result-Code: 900 internal\r\n"));
 }
 
+// Guards against memory that grows with trailers or chunk extensions.
+TEST_F(ShortReadTest, refusesChunkedBodiesWithoutEnd)
+{
+    const std::string head = "POST /admin/explain HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block(20'000, 'a');
+    for (const auto &body : {"0\r\na: " + block, "1;a=" + block, std::string(20'000, '0'), std::string("65\r\n")}) {
+        EXPECT_THAT(exchange(head + body), StartsWith("HTTP/1.1 413")) << body.substr(0, 10);
+    }
+    EXPECT_THAT(call("GET", "/admin/explain?subject=one"), StartsWith("HTTP/1.1 200"));
+}
+
 // Guards against connections that count toward maxConnections for ever without sending a complete request.
 TEST_F(ShortReadTest, closesConnectionsThatSendNoCompleteRequest)
 {
--- a/tests/gateway/unexpected_error_test.cpp
+++ b/tests/gateway/unexpected_error_test.cpp
@@ -1,9 +1,9 @@
 // Tests that one malformed message or unexpected error ends neither the process nor the processing of later messages.
 
+#include "core/memory_budget.h"
 #include "gateway/change_notice.h"
 #include "gateway/datagrams.h"
 #include "gateway/load_report_codec.h"
-#include "gateway/memory_budget.h"
 #include "gateway/run_loop.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/serving/front_end_test.cpp
+++ b/tests/serving/front_end_test.cpp
@@ -3,6 +3,17 @@
 namespace carawaypoint
 {
 
+namespace
+{
+
+/// A request with @p body as it is sent, in chunks.
+std::string chunked(const std::string &body)
+{
+    return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Customer: c\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+}
+
+}
+
 class FrontEnd : public FrontEndFixture
 {
 protected:
@@ -106,6 +117,10 @@
         {"nonsense\r\n\r\n", "200 malformed_request", 400},
         {"GET /healthz HTTP/1.0\r\n\r\n", "200 malformed_request", 400},
         {"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: x\r\n\r\n", "200 malformed_request", 400},
+        {chunked("0\r\na: " + std::string(20'000, 'a')), "201 request_too_large", 413},
+        {chunked("1;a=" + std::string(20'000, 'a')), "201 request_too_large", 413},
+        {chunked(std::string(20'000, '0')), "201 request_too_large", 413},
+        {chunked("2000\r\n"), "201 request_too_large", 413},
         {"POST /v1/chat/comp", "202 request_too_slow", 408},
         {"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 10\r\n\r\n{", "202 request_too_slow", 408},
     };
@@ -120,6 +135,32 @@
     EXPECT_EQ(executions_, 0);
 }
 
+// Guards against callers that together use more memory than there is, and against a crowd that keeps an ordinary request from being answered: the
+// requests that have waited longest for their next bytes give way.
+TEST_F(FrontEnd, unfinishedRequestsGiveWayToOthers)
+{
+    FakeServer engine(completeAnswers(1));
+    addReplica(engine.endpoint());
+    settings_.threads = 1;
+    settings_.maxBodyBytes = 20'000;
+    settings_.maxRequestMemory = 200'000;
+    startFrontEnd();
+    std::vector<TestConnection> crowd;
+    for (int number = 0; number < 30; ++number) {
+        crowd.push_back(connect());
+        crowd.back().write(chunked("4e20\r\n" + std::string(19'000, 'x')));
+    }
+    unsigned refused = 0;
+    EXPECT_EQ(chat(false).status(), 200);
+    for (auto &connection : crowd) {
+        const auto answer = connection.read();
+        ASSERT_TRUE(answer);
+        refused += answer->status() == 503 && answer->header("x-result-code") == "306 request_memory_full" ? 1 : 0;
+        EXPECT_EQ(answer->header("x-run-state"), "not-run");
+    }
+    EXPECT_GE(refused, 15U);
+}
+
 // Guards against a refusal by the dispatcher that reaches the caller without its result code, Retry-After or run state.
 TEST_F(FrontEnd, reportsRefusalsOfTheDispatcher)
 {
