Bound the connections of callers and their receive buffers

Callers saw no answers from a gateway that had used up its descriptors. Cause: at the limit a new connection closes an idle one, but it is accepted also when there is none; connections with an incomplete request do not count as idle. The kernel keeps up to megabytes of unread input of each connection.

A new connection is accepted when an idle one or the request with the least recent progress has left, and closed unread otherwise. The number of connections is limited by the memory too, and the receive buffer is 32 KB.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -17,6 +17,15 @@
 /// Share of the descriptors for callers; the rest is for backend servers, the store, files and pipes.
 constexpr double CallerShare = 0.7;
 constexpr int Backlog = 1024;
+/// Share of the process's memory for connections of callers.
+constexpr double SessionMemoryShare = 0.2;
+/// Memory of a connection: its own without the bytes of a request and its response, and what the kernel keeps of a caller that sends on unread.
+constexpr std::size_t SessionBytes = std::size_t{64} * 1024;
+/// Receive buffer of a connection, in bytes. The kernel would let it grow to megabytes, which count as memory of the VM while they are not read.
+constexpr int ReceiveBufferBytes = 32 * 1024;
+/// Time between two looks whether a session that has to leave has ended, and number of looks.
+constexpr Duration RoomPollInterval = milliseconds(1);
+constexpr unsigned MaxRoomPolls = 20;
 /// Delay after a failed accept, for example when no descriptors are free.
 constexpr Duration AcceptRetryDelay = milliseconds(50);
 
@@ -25,7 +34,7 @@
 GatewayServer::GatewayServer(GatewayContext &context)
     : context_(context)
     , acceptor_(context.io)
-    , maxSessions_(static_cast<std::size_t>(context.settings.maxDescriptors * CallerShare))
+    , maxSessions_(std::min(static_cast<std::size_t>(context.settings.maxDescriptors * CallerShare), context.memoryShare(SessionMemoryShare) / SessionBytes))
 {
 }
 
@@ -39,6 +48,8 @@
     acceptor_.open(asio::ip::tcp::v4(), error);
     if (!error) {
         acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+        // Connections inherit the receive buffer of the listening socket.
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), error);
         acceptor_.bind({address, endpoint.port}, error);
     }
     if (!error) {
@@ -69,13 +80,30 @@
             co_await pause.async_wait(UseResult);
             continue;
         }
-        if (sessions_.size() >= maxSessions_) {
-            closeOldestIdle();
+        const bool hasRoom = co_await makeRoom();
+        if (hasRoom) {
+            startSession(std::move(socket));
         }
-        startSession(std::move(socket));
     }
 }
 
+/// Ends a session when there are too many. Returns whether another one may start.
+asio::awaitable<bool> GatewayServer::makeRoom()
+{
+    if (sessions_.size() < maxSessions_) {
+        co_return true;
+    }
+    if (!closeOldestIdle() && !context_.requestMemory.arriving.makeRoom(ArrivingRequests::Shortage::Descriptors)) {
+        co_return false;
+    }
+    asio::steady_timer pause(context_.io);
+    for (unsigned polls = 0; sessions_.size() >= maxSessions_ && polls < MaxRoomPolls; ++polls) {
+        pause.expires_after(RoomPollInterval);
+        co_await pause.async_wait(UseResult);
+    }
+    co_return sessions_.size() < maxSessions_;
+}
+
 /// An exception, such as one for lack of memory, ends only this session. Otherwise no further connection would be accepted.
 void GatewayServer::startSession(asio::ip::tcp::socket socket)
 {
@@ -88,7 +116,8 @@
     }
 }
 
-void GatewayServer::closeOldestIdle()
+/// Returns false when there is no idle session.
+bool GatewayServer::closeOldestIdle()
 {
     GatewaySession *oldest = nullptr;
     for (const auto &[session, owner] : sessions_) {
@@ -99,6 +128,7 @@
     if (oldest != nullptr) {
         oldest->closeIfIdle();
     }
+    return oldest != nullptr;
 }
 
 void GatewayServer::drain()
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -15,8 +15,9 @@
 
 /// Accepts connections of callers. Used on the traffic thread only.
 ///
-/// Limits the descriptors used for callers, so that some remain for backend servers and the store. Beyond the limit, a new connection
-/// replaces the one that has been idle for longest.
+/// Limits the connections of callers, so that descriptors remain for backend servers and the store, and by the memory of the process. At the limit,
+/// a new connection replaces the one that has been idle for longest, or else the one whose request has been incomplete for longest. When all
+/// connections wait for an answer, a new one is closed without being read, which tells its caller that its request has not run.
 class GatewayServer
 {
 public:
@@ -38,7 +39,8 @@
 private:
     asio::awaitable<void> acceptAll();
     void startSession(asio::ip::tcp::socket socket);
-    void closeOldestIdle();
+    asio::awaitable<bool> makeRoom();
+    bool closeOldestIdle();
 
     GatewayContext &context_;
     asio::ip::tcp::acceptor acceptor_;
