Count all memory of responses that callers do not read

Cause: the memory of a response was counted by its length, but it used up to three times as much: a string that grows by doubling, and a copy with the header for the caller.

The capacity is counted, both copies while a body grows, and the body is sent from where it is.

--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -105,7 +105,8 @@
     asio::awaitable<AttemptEnd> relayCompleteResponse(BackendLink &link, Response &response);
     asio::awaitable<AttemptEnd> relayStream(BackendLink &link, Response &response);
     asio::awaitable<bool> writeEvents(std::string_view bytes, const Response &response);
-    asio::awaitable<bool> writeCaller(std::string bytes);
+    asio::awaitable<bool> writeCaller(std::string head, std::string_view body = {});
+    bool reserveResponse(std::string &body, std::size_t bytes, std::uint64_t statedLength);
     void recordAnswer(bool isServed);
     void recordStreamData();
     void recordStatements(const Response::value_type &header, const ServingTarget &target);
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace carawaypoint
@@ -19,6 +20,8 @@
 constexpr std::size_t MaxResponseBytes = std::size_t{16} * 1024 * 1024;
 /// Bytes of a response that nobody needs, before its connection is closed instead.
 constexpr std::size_t MaxDiscardedBytes = std::size_t{64} * 1024;
+/// Bytes of a body that have to arrive before memory is reserved for its stated length.
+constexpr std::size_t TrustedBodyBytes = std::size_t{32} * 1024;
 constexpr std::size_t MaxEventBytes = std::size_t{512} * 1024;
 /// An incomplete event counts as progress when it grows by this much. A stalled server may send a few bytes now and then.
 constexpr std::size_t EventGrowthBytes = 1024;
@@ -45,17 +48,37 @@
         response.get().body().data = space.data();
         response.get().body().size = space.size();
         const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
-        body.append(space.data(), space.size() - response.get().body().size);
-        const bool isTooLarge = body.size() > MaxResponseBytes || !buffered_.resize(body.size());
-        if ((error && error != http::error::need_buffer) || isTooLarge) {
+        const auto count = space.size() - response.get().body().size;
+        const auto length = body.size() + count;
+        const bool hasRoom = length <= MaxResponseBytes && reserveResponse(body, length, response.content_length().value_or(0));
+        if ((error && error != http::error::need_buffer) || !hasRoom) {
             link.isLost = isConnectionLost(error);
             buffered_.resize(0);
             co_return false;
         }
+        body.append(space.data(), count);
     }
     co_return true;
 }
 
+/// Makes room for @p bytes in @p body, of which the response states @p statedLength in total, or 0. Returns false when the memory for responses does
+/// not suffice.
+bool ForwardCall::reserveResponse(std::string &body, std::size_t bytes, std::uint64_t statedLength)
+{
+    if (bytes <= body.capacity()) {
+        return true;
+    }
+    // A stated length is trusted once part of the body has arrived, since growing in steps needs room for both copies each time.
+    const bool isTrusted = bytes >= TrustedBodyBytes && statedLength <= MaxResponseBytes;
+    const auto grown = std::max({bytes, 2 * body.capacity(), isTrusted ? static_cast<std::size_t>(statedLength) : 0});
+    // Both copies exist while the content moves.
+    if (!buffered_.resize(body.capacity() + grown)) {
+        return false;
+    }
+    body.reserve(grown);
+    return buffered_.resize(body.capacity());
+}
+
 /// Reads the rest of a response that is not forwarded, so that its connection can be used again. Returns false when it is too long.
 asio::awaitable<bool> ForwardCall::discardBody(BackendLink &link, Response &response)
 {
@@ -128,9 +151,10 @@
         const auto length = response.get()[http::field::content_length];
         text += length.empty() ? "\r\n" : "Content-Length: " + std::string(length) + "\r\n\r\n";
     } else {
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     }
-    const bool isWritten = co_await writeCaller(std::move(text));
+    const std::string_view sentBody = hasNoBody ? std::string_view() : std::string_view(body);
+    const bool isWritten = co_await writeCaller(std::move(text), sentBody);
     co_return isWritten ? AttemptEnd::Answered : AttemptEnd::CallerLost;
 }
 
@@ -247,11 +271,13 @@
     co_return co_await writeCaller(std::move(text));
 }
 
-asio::awaitable<bool> ForwardCall::writeCaller(std::string bytes)
+/// Sends @p head and then @p body, which is not copied and has to exist until the end.
+asio::awaitable<bool> ForwardCall::writeCaller(std::string head, std::string_view body)
 {
     hasSentResponse_ = true;
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
     caller_->limit(CallerWriteTimeout);
-    const auto [error, count] = co_await asio::async_write(caller_->socket(), asio::buffer(bytes), UseResult);
+    const auto [error, count] = co_await asio::async_write(caller_->socket(), buffers, UseResult);
     caller_->unlimit();
     if (error) {
         mustCloseCaller_ = true;
