Take only heads that HTTP allows for answers

Callers saw answers with the status 000, 099, 600 or 999, and answers with an unknown Transfer-Encoding beside a length. Cause: a status is used as Beast's parser gives it, which takes any three digits, and each reader of answers decides for itself what it accepts.

A head that fails is no answer: the connection is closed, the result is backend_bad_answer, and a request is sent again only if it may run again. A status below 200 is refused where no interim responses are expected.

--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -1,5 +1,6 @@
 #include "cli/admin_client.h"
 
+#include "core/response_head.h"
 #include "core/result_code.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,9 @@
         request.prepare_payload();
         answer.wasSent = true;
         answer.error = exchange(request);
+        if (!answer.error) {
+            answer.error = checkFinalResponseHead(parser_.get());
+        }
         answer.status = parser_.get().result_int();
         answer.body = std::move(parser_.get().body());
         return answer;
--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -1,5 +1,7 @@
 #include "core/http_client.h"
 
+#include "core/response_head.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -207,7 +209,13 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(settings_.maxAnswerBytes_);
-        co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            error = checkFinalResponseHead(parser.get());
+        }
+        if (!error && !parser.is_done()) {
+            co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        }
         if (error) {
             co_return errorOf(error);
         }
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -1,5 +1,6 @@
 // The part of ForwardCall that sends a request to one backend server and reads the header of the response.
 
+#include "core/response_head.h"
 #include "core/time_units.h"
 #include "gateway/forward_call.h"
 #include "gateway/http_fields.h"
@@ -316,7 +317,7 @@
         const auto [error, bytes] = co_await http::async_read_header(link.connection->socket(), link.connection->buffer(), *response, UseResult);
         const auto status = response->get().result_int();
         link.isLost = isConnectionLost(error);
-        if (error || status == SwitchingProtocols) {
+        if (error || checkResponseHead(response->get()) || status == SwitchingProtocols) {
             co_return false;
         }
         if (status / 100 == 1) {
--- a/src/load/load_client.cpp
+++ b/src/load/load_client.cpp
@@ -1,5 +1,6 @@
 #include "load/load_client.h"
 
+#include "core/response_head.h"
 #include "load/reference_answer.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -154,6 +155,9 @@
         http::response_parser<http::string_body> parser;
         parser.body_limit(boost::none);
         co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
+        if (const auto error = checkFinalResponseHead(parser.get())) {
+            throw boost::system::system_error(error);
+        }
         result.resultCode = codeName(parser.get()["X-Result-Code"]);
         result.runState = std::string(parser.get()["X-Run-State"]);
         const bool isStream = parser.get().result() == http::status::ok;
@@ -212,7 +216,7 @@
                 return;
             }
             http::async_read(stream, buffer, response, [&](beast::error_code readError, std::size_t) {
-                if (readError) {
+                if (readError || checkFinalResponseHead(response)) {
                     return;
                 }
                 result.status = response.result_int();
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -1,5 +1,8 @@
 #include "serving/engine_attempt.h"
 
+#include "core/response_head.h"
+#include "core/response_reader.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -57,7 +60,7 @@
     asio::awaitable<boost::system::error_code> readHeader()
     {
         const auto [error, size] = co_await http::async_read_header(connection_.socket(), connection_.buffer(), parser, UseResult);
-        co_return error;
+        co_return error ? error : checkFinalResponseHead(parser.get());
     }
 
     asio::awaitable<boost::system::error_code> readSome()
@@ -148,6 +151,9 @@
     }
     if (const auto headError = co_await reader_->readHeader()) {
         hasResponseStarted_ = reader_->parser.got_some();
+        if (reader_->parser.is_header_done()) {
+            co_return failure(AttemptResult::End::BadAnswer, ResultCode::BackendBadAnswer, "the head of the answer is malformed: " + headError.message());
+        }
         co_return transportFailure("waiting for the answer", headError.message());
     }
     hasResponseStarted_ = true;
@@ -328,13 +334,13 @@
     auto &connection = *upstream.connection;
     connection.limit(loop.context.settings.cancelTimeout);
     const auto [writeError, written] = co_await http::async_write(connection.socket(), request, UseResult);
-    http::response<http::string_body> response;
+    http::response_parser<http::string_body> parser;
     boost::system::error_code readError = writeError;
-    if (!writeError) {
-        std::tie(readError, std::ignore) = co_await http::async_read(connection.socket(), connection.buffer(), response, UseResult);
+    if (!readError) {
+        readError = co_await readResponse(connection, parser);
     }
     loop.context.count(readError ? ServingEvent::CancelFailed : ServingEvent::CancelSent);
-    if (!readError && response.keep_alive()) {
+    if (!readError && parser.get().keep_alive()) {
         loop.pool.release(engine, std::move(upstream));
     } else {
         connection.close();
--- a/src/serving/service_call.cpp
+++ b/src/serving/service_call.cpp
@@ -26,6 +26,18 @@
     return std::to_string(hash.high64) + "-" + std::to_string(hash.low64);
 }
 
+/// The result of a call that may have run and got no complete answer.
+ResultCode failureCode(const ServiceAnswer &answer)
+{
+    if (answer.end == End::TimedOut) {
+        return ResultCode::BackendTimeout;
+    }
+    if (answer.end == End::Malformed) {
+        return ResultCode::BackendBadAnswer;
+    }
+    return answer.hasStarted ? ResultCode::AnswerTruncated : ResultCode::ReplicaLost;
+}
+
 }
 
 ServiceCall::ServiceCall(TrafficLoop &loop, ServiceCallContext &serviceContext, std::shared_ptr<CallerChannel> caller, ServiceRequest request)
@@ -102,7 +114,7 @@
             continue;
         }
         mayHaveRun = true;
-        code = answer.end == End::TimedOut ? ResultCode::BackendTimeout : answer.hasStarted ? ResultCode::AnswerTruncated : ResultCode::ReplicaLost;
+        code = failureCode(answer);
         if (caller_->isDisconnected() || answer.end == End::TooLarge) {
             code = caller_->isDisconnected() ? ResultCode::CallerClosed : ResultCode::BackendBadAnswer;
             break;
@@ -231,7 +243,7 @@
         loop_.pool.purge(server);
         reportSignal(answer.end == End::RefusedBeforeRun ? ServerSignal::Kind::Draining : ServerSignal::Kind::Leaving, server);
     }
-    if (answer.end == End::ConnectionLost && !caller_->isDisconnected()) {
+    if ((answer.end == End::ConnectionLost || answer.end == End::Malformed) && !caller_->isDisconnected()) {
         reportSignal(ServerSignal::Kind::ConnectionLost, server);
     }
 }
--- a/src/serving/service_exchange.cpp
+++ b/src/serving/service_exchange.cpp
@@ -1,5 +1,8 @@
 #include "serving/service_exchange.h"
 
+#include "core/response_head.h"
+#include "core/response_reader.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -74,9 +77,14 @@
     connection.limit(request.timeout > Duration::zero() ? request.timeout : loop.context.settings.serviceTimeout);
     auto [error, size] = co_await http::async_write(connection.socket(), message, UseResult);
     if (!error) {
-        std::tie(error, size) = co_await http::async_read(connection.socket(), connection.buffer(), parser, UseResult);
+        error = co_await readResponse(connection, parser);
     }
     answer.hasStarted = parser.got_some();
+    if (parser.is_header_done() && checkFinalResponseHead(parser.get())) {
+        answer.end = ServiceAnswer::End::Malformed;
+        connection.close();
+        co_return answer;
+    }
     if (parser.is_header_done()) {
         readHeaders(parser, answer);
     }
--- a/src/serving/service_exchange.h
+++ b/src/serving/service_exchange.h
@@ -30,6 +30,7 @@
         Answered,
         RefusedBeforeRun, // 503 with X-Draining
         ConnectionLost, // the connection broke, or the answer could not be parsed
+        Malformed, // the head of the answer breaks the rules of checkFinalResponseHead()
         TimedOut, // no complete answer within the timeout
         TooLarge, // the server answered, but the body exceeds maxAnswerBytes
     };
--- a/tests/core/http_client_test.cpp
+++ b/tests/core/http_client_test.cpp
@@ -47,6 +47,22 @@
     EXPECT_EQ(server.connections, 1);
 }
 
+// Guards against bytes that are no answer and are taken for one, as that of a backend server to an order or a probe.
+TEST_F(HttpClientTest, reportsMalformedHeadsAsErrors)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).build();
+    std::size_t count = 0;
+    for (const std::string line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 100 Continue", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+                                   "HTTP/1.1 200 OK\r\nX Name: a", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip"}) {
+        script = line + "\r\nContent-Length: 0\r\n\r\n";
+        send(*client, {});
+        runUntil(++count);
+        EXPECT_EQ(errors.back(), std::errc::bad_message) << line;
+        EXPECT_EQ(statuses.back(), 0U) << line;
+    }
+    EXPECT_EQ(server.connections, static_cast<int>(count));
+}
+
 // Guards against an unlimited number of connections and of waiting requests.
 TEST_F(HttpClientTest, limitsConnectionsAndWaitingRequests)
 {
--- a/tests/gateway/faulty_backend_test.cpp
+++ b/tests/gateway/faulty_backend_test.cpp
@@ -105,6 +105,55 @@
     }
 }
 
+// Guards against bytes that are no response and reach the caller as one: heads with such statuses, fields or encodings were passed on.
+TEST_F(FaultyBackend, malformedHeadsAreFailures)
+{
+    const std::string identity = "X-Id: q1\r\nX-Signature: s\r\n";
+    const std::string heads[] = {
+        "HTTP/1.1 000 OK\r\n" + identity,
+        "HTTP/1.1 099 OK\r\n" + identity,
+        "HTTP/1.1 600 OK\r\n" + identity,
+        "HTTP/1.1 999 OK\r\n" + identity,
+        "HTTP/1.1 200 OK\r\n" + identity + "X Name: a\r\n",
+        "HTTP/1.1 200 OK\r\n" + identity + "X\x01: a\r\n",
+        "HTTP/1.1 200 OK\r\n" + identity + "Transfer-Encoding: gzip\r\n",
+        "HTTP/1.1 100 Continue\r\nX Name: a\r\n\r\nHTTP/1.1 200 OK\r\n" + identity,
+    };
+    for (const auto &head : heads) {
+        SCOPED_TRACE(head);
+        std::atomic<int> asked = 0;
+        const auto answerMalformed = [&](const TestMessage &, TestConnection &connection) {
+            ++asked;
+            return connection.write(head + "Content-Length: 3\r\n\r\nbad");
+        };
+        FakeServer faulty(answerMalformed);
+        start({faulty.endpoint()});
+        auto caller = connect();
+        // The request may have run, so that it is not sent again.
+        caller.write(request("/b/", "q1"));
+        const auto refused = caller.read();
+        ASSERT_TRUE(refused);
+        EXPECT_EQ(refused->status(), 502);
+        EXPECT_EQ(refused->header("x-signature"), "");
+        EXPECT_EQ(asked, 1);
+        stopGateway();
+        std::atomic<int> soundAsked = 0;
+        FakeServer oneFaulty([&](const TestMessage &message, TestConnection &connection) {
+            return ++soundAsked == 1 ? answerMalformed(message, connection) : connection.write(answer("q1", "sound"));
+        });
+        start({oneFaulty.endpoint(), oneFaulty.endpoint()});
+        auto second = connect();
+        second.write(request("/r/", "q1"));
+        const auto answered = second.read();
+        ASSERT_TRUE(answered);
+        EXPECT_EQ(answered->status(), 200);
+        EXPECT_EQ(answered->body, "sound");
+        // The connection of the malformed answer is not used again.
+        EXPECT_EQ(oneFaulty.connections(), 2);
+        stopGateway();
+    }
+}
+
 // Guards against memory that grows with an event that never ends.
 TEST_F(FaultyBackend, endlessEventEndsTheAttempt)
 {
--- a/tests/serving/plain_services_test.cpp
+++ b/tests/serving/plain_services_test.cpp
@@ -125,6 +125,10 @@
          "404 backend_refused"},
         {"closes", [](const TestMessage &, TestConnection &) { return false; }, true, "401 replica_lost"},
         {"truncates", [&](const TestMessage &, TestConnection &connection) { return connection.write(truncated) && false; }, true, "402 answer_truncated"},
+        {"status 000", [](const TestMessage &, TestConnection &connection) { return connection.write("HTTP/1.1 000 X\r\nContent-Length: 1\r\n\r\nx"); }, true,
+         "405 backend_bad_answer"},
+        {"status 999", [](const TestMessage &, TestConnection &connection) { return connection.write(responseText(999, "", "x")); }, true,
+         "405 backend_bad_answer"},
         {"sends no response", [](const TestMessage &, TestConnection &connection) { return !connection.isClosedByPeer(); }, true, "403 backend_timeout"},
     };
     for (const auto &fault : cases) {
