Refuse requests whose body has no known end

Cause: a request with Transfer-Encoding gzip or identity and no length counts as one without a body, so that the bytes after its header become a further request. Only chunked, once and without a length, is taken; other requests are answered with 400.

--- a/src/core/request_decoder.cpp
+++ b/src/core/request_decoder.cpp
@@ -1,5 +1,7 @@
 #include "core/request_decoder.h"
 
+#include "core/response_head.h"
+
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -57,6 +59,9 @@
     if (headerBytes_ > limits_.maxHeaderBytes) {
         return http::error::header_limit;
     }
+    if (!hasKnownTransferEncoding(parser_.get())) {
+        return http::error::bad_transfer_encoding;
+    }
     expectedBodyBytes_ = static_cast<std::size_t>(parser_.content_length().value_or(limits_.maxBodyBytes));
     // Trailer fields are added to the parser's header, which is not used from here on.
     static_cast<http::request_header<> &>(header_) = std::move(static_cast<http::request_header<> &>(parser_.get()));
--- a/tests/core/request_decoder_test.cpp
+++ b/tests/core/request_decoder_test.cpp
@@ -109,6 +109,19 @@
     }
 }
 
+// Guards against bytes after the header that become a further request, because an unknown encoding hides that they are a body.
+TEST(RequestDecoder, refusesBodiesWithoutAKnownEnd)
+{
+    for (const std::string lines :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: identity", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, identity",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 5",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked", "Content-Length: 5\r\nContent-Length: 6", "Content-Length: -1", "Content-Length: +1"}) {
+        const auto error = PartwiseDecoder(AnySize).decode(Head + lines + "\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+        EXPECT_TRUE(error && error != http::error::need_more) << lines << ": " << error.message();
+    }
+    EXPECT_FALSE(PartwiseDecoder(AnySize).decode(Head + "Transfer-Encoding: Chunked\r\n\r\n0\r\n\r\n"));
+}
+
 // Guards against memory that grows with what a caller sends: no part of a request may use more than the limits allow.
 TEST(RequestDecoder, boundsEachPartOfARequest)
 {
--- a/tests/serving/front_end_test.cpp
+++ b/tests/serving/front_end_test.cpp
@@ -117,6 +117,7 @@
         {"nonsense\r\n\r\n", "200 malformed_request", 400},
         {"GET /healthz HTTP/1.0\r\n\r\n", "200 malformed_request", 400},
         {"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: x\r\n\r\n", "200 malformed_request", 400},
+        {"POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "200 malformed_request", 400},
         {chunked("0\r\na: " + std::string(20'000, 'a')), "201 request_too_large", 413},
         {chunked("1;a=" + std::string(20'000, 'a')), "201 request_too_large", 413},
         {chunked(std::string(20'000, '0')), "201 request_too_large", 413},
