Keep Beast's parser from ending the process at an empty chunked body

Callers lost all connections to a gateway at once. Cause: when the first chunk of a body is the last one and its line end arrives before the empty line does, the next call of Beast's parser fails an assertion (n >= 5 in parse_chunk_header), which ends the process with signal 6. Any caller can do that with one request, and any backend server with one answer. Evidence: HostileClients.EmptyBodyWhoseLastChunkArrivesInParts on the code before; RequestDecoder.decodesRequestsInPartsOfAnySize ended its test program in the same assertion.

The parser is not called until the five bytes of such a body have arrived, in the decoder of requests and in all readers of answers but the admin client and the load client's calls to services, which read whole answers of the project's own daemons.

--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -1,5 +1,6 @@
 #include "core/http_client.h"
 
+#include "core/chunked_body.h"
 #include "core/response_head.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -213,6 +214,9 @@
         if (!error) {
             error = checkFinalResponseHead(parser.get());
         }
+        if (!error) {
+            error = co_await receiveChunkedBegin(*stream, buffer, parser);
+        }
         if (!error && !parser.is_done()) {
             co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         }
--- a/src/core/request_decoder.cpp
+++ b/src/core/request_decoder.cpp
@@ -1,5 +1,6 @@
 #include "core/request_decoder.h"
 
+#include "core/chunked_body.h"
 #include "core/response_head.h"
 
 #include <boost/beast/http/error.hpp>
@@ -72,7 +73,7 @@
 RequestDecoder::Error RequestDecoder::decodeBody(boost::beast::flat_buffer &buffer)
 {
     while (!parser_.is_done()) {
-        if (buffer.size() == 0) {
+        if (buffer.size() == 0 || (parser_.chunked() && isIncompleteEmptyBody(buffer))) {
             return http::error::need_more;
         }
         const auto size = body_.size();
--- a/src/core/response_reader.h
+++ b/src/core/response_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/chunked_body.h"
 #include "core/connection.h"
 #include "core/response_head.h"
 
@@ -21,6 +22,9 @@
     if (!error) {
         error = checkFinalResponseHead(parser.get());
     }
+    if (!error) {
+        error = co_await receiveChunkedBegin(connection.socket(), connection.buffer(), parser);
+    }
     if (!error && !parser.is_done()) {
         std::tie(error, std::ignore) = co_await boost::beast::http::async_read(connection.socket(), connection.buffer(), parser, UseResult);
     }
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -1,5 +1,6 @@
 // The part of ForwardCall that sends a request to one backend server and reads the header of the response.
 
+#include "core/chunked_body.h"
 #include "core/response_head.h"
 #include "core/time_units.h"
 #include "gateway/forward_call.h"
@@ -207,6 +208,12 @@
 
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::relayResponse(BackendLink &link, Response &response)
 {
+    const auto error = co_await receiveChunkedBegin(link.connection->socket(), link.connection->buffer(), response);
+    if (error) {
+        link.isLost = isConnectionLost(error);
+        link.connection->close();
+        co_return isCallerGone_ ? AttemptEnd::CallerLost : AttemptEnd::Failed;
+    }
     const auto status = response.get().result_int();
     if (route_->kind == CallKind::Stream && status / 100 == 2) {
         co_return co_await relayStream(link, response);
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -1,5 +1,6 @@
 // The part of ForwardCall that reads responses of backend servers and forwards them to the caller.
 
+#include "core/chunked_body.h"
 #include "gateway/forward_call.h"
 #include "gateway/http_fields.h"
 
@@ -82,6 +83,9 @@
 /// Reads the rest of a response that is not forwarded, so that its connection can be used again. Returns false when it is too long.
 asio::awaitable<bool> ForwardCall::discardBody(BackendLink &link, Response &response)
 {
+    if (co_await receiveChunkedBegin(link.connection->socket(), link.connection->buffer(), response)) {
+        co_return false;
+    }
     std::array<char, 8192> space{};
     std::size_t total = 0;
     while (!response.is_done()) {
--- a/src/load/load_client.cpp
+++ b/src/load/load_client.cpp
@@ -1,5 +1,6 @@
 #include "load/load_client.h"
 
+#include "core/chunked_body.h"
 #include "core/response_head.h"
 #include "load/reference_answer.h"
 
@@ -158,6 +159,9 @@
         if (const auto error = checkFinalResponseHead(parser.get())) {
             throw boost::system::system_error(error);
         }
+        if (const auto error = co_await receiveChunkedBegin(stream, buffer, parser)) {
+            throw boost::system::system_error(error);
+        }
         result.resultCode = codeName(parser.get()["X-Result-Code"]);
         result.runState = std::string(parser.get()["X-Run-State"]);
         const bool isStream = parser.get().result() == http::status::ok;
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -1,5 +1,6 @@
 #include "serving/engine_attempt.h"
 
+#include "core/chunked_body.h"
 #include "core/response_head.h"
 #include "core/response_reader.h"
 
@@ -65,6 +66,13 @@
 
     asio::awaitable<boost::system::error_code> readSome()
     {
+        received = {};
+        if (!std::exchange(hasBodyBegun_, true)) {
+            const auto beginError = co_await receiveChunkedBegin(connection_.socket(), connection_.buffer(), parser);
+            if (beginError) {
+                co_return beginError;
+            }
+        }
         parser.get().body().data = buffer_.data();
         parser.get().body().size = buffer_.size();
         parser.get().body().more = true;
@@ -85,6 +93,7 @@
 private:
     Connection &connection_;
     std::array<char, ReadBytes> buffer_{};
+    bool hasBodyBegun_ = false;
 };
 
 EngineAttempt::EngineAttempt(TrafficLoop &loop, AttemptPlan plan, UpstreamConnection upstream, TokenSink &sink)
--- a/tests/core/http_client_test.cpp
+++ b/tests/core/http_client_test.cpp
@@ -63,6 +63,26 @@
     EXPECT_EQ(server.connections, static_cast<int>(count));
 }
 
+// Guards against an assertion in Beast's parser that ends the process: an empty chunked body without its end.
+TEST_F(HttpClientTest, takesNoPartOfAnEmptyChunkedBodyForTheWhole)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).build();
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::size_t count = 0;
+    for (const std::string body : {"", "0", "0\r\n", "0\r\n\r"}) {
+        script = head + body;
+        HttpRequest request;
+        request.timeout = milliseconds(50);
+        send(*client, request);
+        runUntil(++count);
+        EXPECT_EQ(errors.back(), std::errc::timed_out) << body.size();
+    }
+    script = head + "0\r\n\r\n";
+    send(*client, {});
+    runUntil(++count);
+    EXPECT_FALSE(errors.back());
+}
+
 // Guards against an unlimited number of connections and of waiting requests.
 TEST_F(HttpClientTest, limitsConnectionsAndWaitingRequests)
 {
--- a/tests/core/request_decoder_test.cpp
+++ b/tests/core/request_decoder_test.cpp
@@ -95,7 +95,7 @@
         ChunkedHead + repeated("A;a=b\r\nxxxxxxxxxx\r\n", 1000) + "0\r\nX-Trailer: 1\r\n\r\n",
     };
     for (const auto &request : requests) {
-        for (const std::size_t partBytes : {std::size_t{5}, std::size_t{7}, std::size_t{512}, std::size_t{4096}, AnySize}) {
+        for (const std::size_t partBytes : {std::size_t{1}, std::size_t{7}, std::size_t{512}, std::size_t{4096}, AnySize}) {
             PartwiseDecoder parts(partBytes);
             ASSERT_FALSE(parts.decode(request)) << partBytes;
             ASSERT_TRUE(parts.decoder.isDone());
@@ -145,7 +145,7 @@
     };
     constexpr std::size_t MaxMemory = 100'000;
     for (const auto &attack : cases) {
-        for (const std::size_t partBytes : {std::size_t{5}, std::size_t{6}, std::size_t{511}, std::size_t{512}, std::size_t{4096}}) {
+        for (const std::size_t partBytes : {std::size_t{1}, std::size_t{6}, std::size_t{511}, std::size_t{512}, std::size_t{4096}}) {
             PartwiseDecoder parts(partBytes);
             EXPECT_EQ(parts.decode(attack.begin + repeated(attack.block, 200'000 / attack.block.size())), attack.error) << attack.name << ", " << partBytes;
             EXPECT_LT(parts.peakMemory, MaxMemory) << attack.name << ", " << partBytes;
@@ -163,7 +163,7 @@
     largest.append(padding, 'x').append("\r\n").append(end);
     std::string tooLarge = Head + field;
     tooLarge.append(padding + 1, 'x').append("\r\n").append(end);
-    for (const std::size_t partBytes : {std::size_t{5}, std::size_t{512}, AnySize}) {
+    for (const std::size_t partBytes : {std::size_t{1}, std::size_t{512}, AnySize}) {
         EXPECT_FALSE(PartwiseDecoder(partBytes).decode(largest));
         EXPECT_EQ(PartwiseDecoder(partBytes).decode(tooLarge), http::error::header_limit);
     }
--- a/tests/daemon/admin_server_test.cpp
+++ b/tests/daemon/admin_server_test.cpp
@@ -176,7 +176,7 @@
     EXPECT_THAT(answer, HasSubstr("X-Result-Code: 900 internal\r\n"));
 }
 
-// Guards against memory that grows with trailers or chunk extensions.
+// Guards against memory that grows with trailers or chunk extensions, and against bytes with which Beast's parser ends the process.
 TEST_F(ShortReadTest, refusesChunkedBodiesWithoutEnd)
 {
     const std::string head = "POST /admin/explain HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -184,6 +184,7 @@
     for (const auto &body : {"0\r\na: " + block, "1;a=" + block, std::string(20'000, '0'), std::string("65\r\n")}) {
         EXPECT_THAT(exchange(head + body), StartsWith("HTTP/1.1 413")) << body.substr(0, 10);
     }
+    EXPECT_EQ(exchange(head + "0\r\n\r"), "");
     EXPECT_THAT(call("GET", "/admin/explain?subject=one"), StartsWith("HTTP/1.1 200"));
 }
 
--- a/tests/gateway/faulty_backend_test.cpp
+++ b/tests/gateway/faulty_backend_test.cpp
@@ -154,6 +154,30 @@
     }
 }
 
+// Guards against an assertion in Beast's parser that ends the process: an empty chunked body of which the last chunk arrives in parts.
+TEST_F(FaultyBackend, emptyChunkedBodyMayArriveInParts)
+{
+    FakeServer backend([&](const TestMessage &message, TestConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nX-Id: " + message.header("x-id") + "\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        for (const std::string part : {"\r", "\n"}) {
+            std::this_thread::sleep_for(milliseconds(30));
+            connection.write(part);
+        }
+        return true;
+    });
+    start({backend.endpoint()});
+    auto caller = connect();
+    for (const std::string path : {"/r/", "/s/", "/b/"}) {
+        caller.write(request(path, "q" + path.substr(1, 1)));
+        const auto result = caller.read();
+        ASSERT_TRUE(result);
+        EXPECT_EQ(result->status(), 200);
+        EXPECT_EQ(result->body, "");
+    }
+    // Requests for the model and those for the plain service have a connection each.
+    EXPECT_EQ(backend.connections(), 2);
+}
+
 // Guards against memory that grows with an event that never ends.
 TEST_F(FaultyBackend, endlessEventEndsTheAttempt)
 {
--- a/tests/serving/front_end_test.cpp
+++ b/tests/serving/front_end_test.cpp
@@ -122,6 +122,7 @@
         {chunked("1;a=" + std::string(20'000, 'a')), "201 request_too_large", 413},
         {chunked(std::string(20'000, '0')), "201 request_too_large", 413},
         {chunked("2000\r\n"), "201 request_too_large", 413},
+        {chunked("0\r\n\r"), "202 request_too_slow", 408}, // Beast's parser ends the process when it is called with these bytes
         {"POST /v1/chat/comp", "202 request_too_slow", 408},
         {"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 10\r\n\r\n{", "202 request_too_slow", 408},
     };
