Reserve the memory of a request without a further coroutine, and count refusals only

A request whose body came with its header set a timer again, and each reservation of memory was a coroutine of its own: the common case needs neither. The metric of unread requests counted failures of requests that were read.

--- a/src/core/request_reader.cpp
+++ b/src/core/request_reader.cpp
@@ -50,7 +50,9 @@
     }
     if (!error) {
         shrinkBuffer();
-        error = co_await reserve(memoryUse());
+    }
+    if (!error && !reservation_.resize(memoryUse())) {
+        error = co_await reserveFromOthers(memoryUse());
     }
     if (error) {
         dropInput();
@@ -65,8 +67,10 @@
 {
     auto &buffer = connection_.buffer();
     const auto size = decoder_.readSize();
-    if (const auto error = co_await reserve(memoryUse() + size)) {
-        co_return error;
+    if (!reservation_.resize(memoryUse() + size)) {
+        if (const auto error = co_await reserveFromOthers(memoryUse() + size)) {
+            co_return error;
+        }
     }
     const auto [error, count] = co_await connection_.socket().async_read_some(buffer.prepare(size), UseResult);
     buffer.commit(count);
@@ -83,16 +87,19 @@
 
 asio::awaitable<RequestReader::Error> RequestReader::growBody()
 {
-    if (const auto error = co_await reserve(decoder_.memoryUseToGrow() + connection_.buffer().capacity())) {
-        co_return error;
+    const auto bytes = decoder_.memoryUseToGrow() + connection_.buffer().capacity();
+    if (!reservation_.resize(bytes)) {
+        if (const auto error = co_await reserveFromOthers(bytes)) {
+            co_return error;
+        }
     }
     decoder_.growBody();
     reservation_.resize(memoryUse());
     co_return Error();
 }
 
-/// Changes the memory that is counted for the request. Other requests that are being received give way when it does not suffice.
-asio::awaitable<RequestReader::Error> RequestReader::reserve(std::size_t bytes)
+/// Changes the memory that is counted for the request. Other requests that are being received give way until it suffices.
+asio::awaitable<RequestReader::Error> RequestReader::reserveFromOthers(std::size_t bytes)
 {
     while (!reservation_.resize(bytes)) {
         if (!memory_.arriving.makeRoom(ArrivingRequests::Shortage::Memory, this)) {
--- a/src/core/request_reader.h
+++ b/src/core/request_reader.h
@@ -59,7 +59,7 @@
     asio::awaitable<Error> read(Decode decode);
     asio::awaitable<Error> receiveSome();
     asio::awaitable<Error> growBody();
-    asio::awaitable<Error> reserve(std::size_t bytes);
+    asio::awaitable<Error> reserveFromOthers(std::size_t bytes);
     std::size_t memoryUse() const;
     void dropInput();
     void shrinkBuffer();
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -28,6 +28,21 @@
 /// A caller that does not acknowledge data for this long counts as gone.
 constexpr Duration CallerUserTimeout = seconds(10);
 
+/// The result of a request that could not be received because of @p error.
+ResultCode refusalCode(const boost::system::error_code &error, bool isTimedOut)
+{
+    if (error == boost::system::errc::not_enough_memory) {
+        return ResultCode::RequestMemoryFull;
+    }
+    if (error == http::error::header_limit) {
+        return ResultCode::HeaderTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return ResultCode::RequestTooLarge;
+    }
+    return isTimedOut ? ResultCode::RequestTooSlow : ResultCode::MalformedRequest;
+}
+
 }
 
 GatewaySession::GatewaySession(GatewayContext &context, GatewayServer &server, asio::ip::tcp::socket socket)
@@ -129,7 +144,7 @@
         std::tie(error, std::ignore) = co_await asio::async_write(connection_->socket(), asio::buffer(Continue), UseResult);
         connection_->unlimit();
     }
-    if (!error) {
+    if (!error && !reader.isDone()) {
         connection_->limit(BodyTimeout);
         error = co_await reader.readBody();
         connection_->unlimit();
@@ -143,16 +158,11 @@
 /// Answers a request that was not received, and waits until the caller has the answer. None of these requests has run.
 asio::awaitable<void> GatewaySession::refuse(const boost::system::error_code &error, const RequestReader &reader)
 {
-    if (error == boost::system::errc::not_enough_memory) {
-        co_await sendErrorResponse(ResultCode::RequestMemoryFull);
-    } else if (error == http::error::header_limit) {
-        co_await sendErrorResponse(ResultCode::HeaderTooLarge);
-    } else if (error == http::error::body_limit) {
-        co_await sendErrorResponse(ResultCode::RequestTooLarge);
-    } else if (connection_->isTimedOut()) {
-        co_await sendErrorResponse(ResultCode::RequestTooSlow);
-    } else if (!isConnectionLost(error)) {
-        co_await sendErrorResponse(ResultCode::MalformedRequest);
+    const bool isAnswered = connection_->isTimedOut() || !isConnectionLost(error);
+    if (isAnswered) {
+        const auto code = refusalCode(error, connection_->isTimedOut());
+        metricsRegistry().count(CounterMetric::UnreadRequests, resultCodeName(code));
+        co_await sendErrorResponse(code);
     }
     if (!reader.mustCloseAtOnce()) {
         co_await connection_->discardInput(LingerTimeout, MaxDiscardedBytes);
@@ -177,7 +187,6 @@
 asio::awaitable<void> GatewaySession::sendErrorResponse(ResultCode code)
 {
     const auto status = resultCodeInfo(code).httpStatus;
-    metricsRegistry().count(CounterMetric::UnreadRequests, resultCodeName(code));
     logLine(LogLevel::Info, "request answered with an error", {{"status", status}, {"result", resultCodeName(code)}});
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\nContent-Length: 0\r\nConnection: close\r\n";
