Read responses by one piece of code

HttpClient repeated what readResponse() does, and the engine's reader its first part. readResponse() takes any stream now and consists of readResponseHead() and readResponseBody(); both call these. No change of behaviour.

--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -1,7 +1,6 @@
 #include "core/http_client.h"
 
-#include "core/chunked_body.h"
-#include "core/response_head.h"
+#include "core/response_reader.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -210,16 +209,7 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(settings_.maxAnswerBytes_);
-        co_await http::async_read_header(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            error = checkFinalResponseHead(parser.get());
-        }
-        if (!error) {
-            error = co_await receiveChunkedBegin(*stream, buffer, parser);
-        }
-        if (!error && !parser.is_done()) {
-            co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        }
+        error = co_await readResponse(*stream, buffer, parser);
         if (error) {
             co_return errorOf(error);
         }
--- a/src/serving/engine_attempt.cpp
+++ b/src/serving/engine_attempt.cpp
@@ -1,7 +1,6 @@
 #include "serving/engine_attempt.h"
 
 #include "core/chunked_body.h"
-#include "core/response_head.h"
 #include "core/response_reader.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -60,8 +59,7 @@
 
     asio::awaitable<boost::system::error_code> readHeader()
     {
-        const auto [error, size] = co_await http::async_read_header(connection_.socket(), connection_.buffer(), parser, UseResult);
-        co_return error ? error : checkFinalResponseHead(parser.get());
+        return readResponseHead(connection_.socket(), connection_.buffer(), parser);
     }
 
     asio::awaitable<boost::system::error_code> readSome()
@@ -346,7 +344,7 @@
     http::response_parser<http::string_body> parser;
     boost::system::error_code readError = writeError;
     if (!readError) {
-        readError = co_await readResponse(connection, parser);
+        readError = co_await readResponse(connection.socket(), connection.buffer(), parser);
     }
     loop.context.count(readError ? ServingEvent::CancelFailed : ServingEvent::CancelSent);
     if (!readError && parser.get().keep_alive()) {
--- a/src/serving/service_exchange.cpp
+++ b/src/serving/service_exchange.cpp
@@ -1,6 +1,5 @@
 #include "serving/service_exchange.h"
 
-#include "core/response_head.h"
 #include "core/response_reader.h"
 
 #include <boost/beast/core/string.hpp>
@@ -77,9 +76,10 @@
     connection.limit(request.timeout > Duration::zero() ? request.timeout : loop.context.settings.serviceTimeout);
     auto [error, size] = co_await http::async_write(connection.socket(), message, UseResult);
     if (!error) {
-        error = co_await readResponse(connection, parser);
+        error = co_await readResponse(connection.socket(), connection.buffer(), parser);
     }
     answer.hasStarted = parser.got_some();
+    // The parser reports a body over the limit before its head was checked.
     if (parser.is_header_done() && checkFinalResponseHead(parser.get())) {
         answer.end = ServiceAnswer::End::Malformed;
         connection.close();
