Read the answers of daemons by the guarded reader too

They use readResponse(), which also has the check of the head. Not shown by a test of their own: HttpClientTest.takesNoPartOfAnEmptyChunkedBodyForTheWhole covers the shared code.

--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -1,14 +1,15 @@
 #include "cli/admin_client.h"
 
-#include "core/response_head.h"
+#include "core/response_reader.h"
 #include "core/result_code.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -63,9 +64,6 @@
         request.prepare_payload();
         answer.wasSent = true;
         answer.error = exchange(request);
-        if (!answer.error) {
-            answer.error = checkFinalResponseHead(parser_.get());
-        }
         answer.status = parser_.get().result_int();
         answer.body = std::move(parser_.get().body());
         return answer;
@@ -78,9 +76,11 @@
         parser_.body_limit(MaxAnswerBytes);
         stream_.expires_after(timeout_);
         // A daemon that refuses a body answers before it has read all of it, so an answer can follow a failed write.
-        http::async_write(stream_, request, [&](beast::error_code, std::size_t) {
-            http::async_read(stream_, buffer_, parser_, [&](beast::error_code readError, std::size_t) { error = readError; });
-        });
+        const auto writeAndRead = [&]() -> asio::awaitable<void> {
+            co_await http::async_write(stream_, request, UseResult);
+            error = co_await readResponse(stream_, buffer_, parser_);
+        };
+        asio::co_spawn(context_, writeAndRead, asio::detached);
         context_.restart();
         context_.run();
         return error;
--- a/src/load/load_client.cpp
+++ b/src/load/load_client.cpp
@@ -1,7 +1,6 @@
 #include "load/load_client.h"
 
-#include "core/chunked_body.h"
-#include "core/response_head.h"
+#include "core/response_reader.h"
 #include "load/reference_answer.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,6 +14,7 @@
 #include <boost/json.hpp>
 
 #include <optional>
+#include <tuple>
 
 namespace carawaypoint
 {
@@ -155,8 +155,7 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(boost::none);
-        co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
-        if (const auto error = checkFinalResponseHead(parser.get())) {
+        if (const auto error = co_await readResponseHead(stream, buffer, parser)) {
             throw boost::system::system_error(error);
         }
         if (const auto error = co_await receiveChunkedBegin(stream, buffer, parser)) {
@@ -207,28 +206,25 @@
     request.set("Idempotency-Key", key);
     request.body() = body;
     request.prepare_payload();
-    beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    // Beast's tcp_stream applies its timeout to asynchronous operations only.
-    stream.expires_after(timeout);
-    stream.async_connect({asio::ip::make_address(entry.address), entry.port}, [&](beast::error_code connectError) {
-        if (connectError) {
-            return;
+    const auto exchange = [&]() -> asio::awaitable<void> {
+        // Beast's tcp_stream applies its timeout to asynchronous operations only.
+        stream.expires_after(timeout);
+        auto [error] = co_await stream.async_connect(tcp::endpoint(asio::ip::make_address(entry.address), entry.port), UseResult);
+        if (!error) {
+            std::tie(error, std::ignore) = co_await http::async_write(stream, request, UseResult);
         }
-        http::async_write(stream, request, [&](beast::error_code writeError, std::size_t) {
-            if (writeError) {
-                return;
-            }
-            http::async_read(stream, buffer, response, [&](beast::error_code readError, std::size_t) {
-                if (readError || checkFinalResponseHead(response)) {
-                    return;
-                }
-                result.status = response.result_int();
-                result.resultCode = codeName(response["X-Result-Code"]);
-                result.runState = std::string(response["X-Run-State"]);
-            });
-        });
-    });
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        if (!error) {
+            error = co_await readResponse(stream, buffer, parser);
+        }
+        if (!error) {
+            result.status = parser.get().result_int();
+            result.resultCode = codeName(parser.get()["X-Result-Code"]);
+            result.runState = std::string(parser.get()["X-Run-State"]);
+        }
+    };
+    asio::co_spawn(context, exchange, asio::detached);
     context.run();
     return result;
 }
