Drop a limit, a state and a loop that stood twice in the tests and readers of requests

The bytes that are dropped after a refusal were a constant in two files; they belong to Connection::discardInput(). The admin server and a test kept whether the header was decoded, which the decoder knows. Two tests built the largest header by the same loop. A comment of a removed function was left in caller_session.h. No change of behaviour; the tests keep their assertions.

--- a/src/core/connection.cpp
+++ b/src/core/connection.cpp
@@ -15,6 +15,7 @@
 // A composed operation may start its next step just after a cancel, so the cancel is repeated until the timeout is removed.
 constexpr auto CancelInterval = milliseconds(10);
 constexpr std::size_t DiscardReadBytes = 4096;
+constexpr std::size_t MaxDiscardedBytes = std::size_t{256} * 1024;
 }
 
 bool isClosedByPeer(asio::ip::tcp::socket &socket)
@@ -93,13 +94,13 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-asio::awaitable<void> Connection::discardInput(Duration time, std::size_t maxBytes)
+asio::awaitable<void> Connection::discardInput(Duration time)
 {
     boost::system::error_code error;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     limit(time);
     std::array<char, DiscardReadBytes> space{};
-    for (std::size_t total = 0; !error && total < maxBytes;) {
+    for (std::size_t total = 0; !error && total < MaxDiscardedBytes;) {
         std::size_t count = 0;
         std::tie(error, count) = co_await socket_.async_read_some(asio::buffer(space), UseResult);
         total += count;
--- a/src/core/connection.h
+++ b/src/core/connection.h
@@ -63,9 +63,9 @@
     {
         return isClosedByPeer(socket_);
     }
-    /// Ends the sending side, then reads and drops input until the peer closes, @p time has passed or @p maxBytes were dropped. Closing a
-    /// socket with unread input resets the connection, and the peer could lose the last response.
-    asio::awaitable<void> discardInput(Duration time, std::size_t maxBytes);
+    /// Ends the sending side, then reads and drops input until the peer closes or @p time has passed, but no more than 256 KB. Closing a socket
+    /// with unread input resets the connection, and the peer could lose the last response.
+    asio::awaitable<void> discardInput(Duration time);
     void close();
 
 private:
--- a/src/core/request_decoder.h
+++ b/src/core/request_decoder.h
@@ -52,6 +52,10 @@
     {
         return headerBytes_ > 0;
     }
+    bool isHeaderDone() const
+    {
+        return isHeaderDone_;
+    }
     bool isDone() const
     {
         return isHeaderDone_ && parser_.is_done();
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -85,7 +85,6 @@
     void read()
     {
         decoder_.emplace(RequestLimits{server_->limits.maxHeaderBytes, server_->limits.maxBodyBytes});
-        isHeaderRead_ = false;
         // idleTimeout covers the pause between two requests; the body gets readTimeout of its own after the header.
         stream_.expires_after(isKeptAlive_ ? server_->limits.idleTimeout : server_->limits.readTimeout);
         decode();
@@ -103,10 +102,12 @@
     /// Decodes what has arrived, and receives more until the request is complete.
     void decode()
     {
-        auto error = isHeaderRead_ ? beast::error_code() : decoder_->decodeHeader(buffer_);
-        if (!error && !isHeaderRead_) {
-            isHeaderRead_ = true;
-            stream_.expires_after(server_->limits.readTimeout);
+        beast::error_code error;
+        if (!decoder_->isHeaderDone()) {
+            error = decoder_->decodeHeader(buffer_);
+            if (!error) {
+                stream_.expires_after(server_->limits.readTimeout);
+            }
         }
         while (!error && !decoder_->isDone()) {
             error = decoder_->decodeBody(buffer_);
@@ -256,7 +257,6 @@
     beast::flat_buffer buffer_;
     std::optional<RequestDecoder> decoder_;
     MemoryBudget::Reservation reservation_;
-    bool isHeaderRead_ = false;
     http::response<http::string_body> response_;
     std::uint64_t requestSequence_ = 0; // number of the current request on this connection
     bool isAnswered_ = false;
--- a/src/gateway/gateway_session.cpp
+++ b/src/gateway/gateway_session.cpp
@@ -24,7 +24,6 @@
 constexpr Duration BodyTimeout = seconds(10);
 /// Time for a caller to read the last response before its connection is closed with unread input.
 constexpr Duration LingerTimeout = milliseconds(500);
-constexpr std::size_t MaxDiscardedBytes = std::size_t{256} * 1024; // input after a request that was answered with an error
 /// A caller that does not acknowledge data for this long counts as gone.
 constexpr Duration CallerUserTimeout = seconds(10);
 
@@ -165,7 +164,7 @@
         co_await sendErrorResponse(code);
     }
     if (!reader.mustCloseAtOnce()) {
-        co_await connection_->discardInput(LingerTimeout, MaxDiscardedBytes);
+        co_await connection_->discardInput(LingerTimeout);
     }
 }
 
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -18,7 +18,6 @@
 {
 
 constexpr std::size_t ReadBufferBytes = 4UL * 1024;
-constexpr std::size_t MaxDiscardedBytes = 256UL * 1024; // input after a request that was refused
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr auto LingerTimeout = seconds(1);
 constexpr auto RetryAfterFull = seconds(1); // when the memory for requests is used up
@@ -167,7 +166,7 @@
     if (auto *metrics = loop_.context.dependencies.metrics) {
         metrics->onRequestFinished(code, RunState::NotRun, loop_.context.dependencies.clock->now() - arrivedAt_);
     }
-    co_await connection_->discardInput(LingerTimeout, MaxDiscardedBytes);
+    co_await connection_->discardInput(LingerTimeout);
 }
 
 asio::awaitable<bool> CallerSession::sendReply(const Request &request, const Reply &reply)
--- a/src/serving/caller_session.h
+++ b/src/serving/caller_session.h
@@ -34,7 +34,6 @@
     asio::awaitable<bool> handleServiceCall(const Request &request);
     asio::awaitable<bool> sendReply(const Request &request, const Reply &reply);
     asio::awaitable<void> refuseAndClose(ResultCode code, std::string message, Duration retryAfter = {});
-    /// Shuts down the sending side and discards input for a short time, so that the caller receives the response.
     RequestId nextRequestId();
 
     TrafficLoop &loop_;
--- a/tests/core/request_decoder_test.cpp
+++ b/tests/core/request_decoder_test.cpp
@@ -51,11 +51,10 @@
     RequestDecoder::Error decodeBuffer()
     {
         RequestDecoder::Error error;
-        if (!isHeaderDone_) {
+        if (!decoder.isHeaderDone()) {
             error = decoder.decodeHeader(buffer_);
-            isHeaderDone_ = !error;
         }
-        while (isHeaderDone_) {
+        while (decoder.isHeaderDone()) {
             error = decoder.decodeBody(buffer_);
             if (error != http::error::need_buffer) {
                 break;
@@ -67,7 +66,6 @@
 
     std::size_t partBytes_;
     boost::beast::flat_buffer buffer_;
-    bool isHeaderDone_ = false;
 };
 
 const std::string Head = "POST /a HTTP/1.1\r\nHost: h\r\n";
--- a/tests/process/hostile_clients_test.cpp
+++ b/tests/process/hostile_clients_test.cpp
@@ -32,6 +32,15 @@
     {
         return requestHead() + std::string(Chunked);
     }
+    /// A request with as many short header fields as the limit allows before @p end.
+    std::string largestHead(const std::string &end)
+    {
+        std::string head = requestHead();
+        while (head.size() + end.size() + 5 < MaxHeaderBytes) {
+            head += "a:\r\n";
+        }
+        return head + end;
+    }
     void runCrowd(unsigned count, const CrowdScript &script)
     {
         const CallerCrowd crowd(callers(), count, script);
@@ -61,12 +70,7 @@
 
 TEST_F(HostileClients, ManyShortHeaderFieldsBeforeAnUnfinishedBody)
 {
-    std::string head = requestHead();
-    const std::string end = "Content-Length: 1000\r\n\r\n";
-    while (head.size() + end.size() + 5 < MaxHeaderBytes) {
-        head += "a:\r\n";
-    }
-    runCrowd(400, {.head = head + end, .piece = "x", .bytes = 900});
+    runCrowd(400, {.head = largestHead("Content-Length: 1000\r\n\r\n"), .piece = "x", .bytes = 900});
 }
 
 TEST_F(HostileClients, TrailerFieldsWithoutEnd)
@@ -180,13 +184,8 @@
 
 TEST_F(HostileClients, LargestHeaderIsServedInCalm)
 {
-    std::string head = requestHead();
-    const std::string end = "Content-Length: 5\r\n\r\nhello";
-    while (head.size() + end.size() + 5 < MaxHeaderBytes) {
-        head += "a:\r\n";
-    }
     std::string answer;
-    EXPECT_EQ(exchange(head + end, answer), 200U);
+    EXPECT_EQ(exchange(largestHead("Content-Length: 5\r\n\r\nhello"), answer), 200U);
     expectOrdinaryService();
 }
 
