--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -70,6 +70,13 @@
     applyRemoval(id, now);
 }
 
+void ServerRegistry::discard(const VmId &id)
+{
+    deferredRemovals_.erase(id);
+    lapsedSince_.erase(id);
+    isChanged_ = servers_.erase(id) > 0 || isChanged_;
+}
+
 void ServerRegistry::applyRemoval(const VmId &id, TimePoint now)
 {
     deferredRemovals_.erase(id);
--- a/src/gateway/server_registry.h
+++ b/src/gateway/server_registry.h
@@ -31,7 +31,10 @@
 
     void replaceAll(ServerMap servers, TimePoint now);
     void set(BackendServer server);
+    /// The registration of @p id is gone.
     void remove(const VmId &id, TimePoint now);
+    /// The registration of @p id is there, but names no server that can be used. Unlike one that is gone it has not lapsed, so that nothing is kept.
+    void discard(const VmId &id);
     void recordStoreFailure();
     void recordStoreAnswer(TimePoint now);
     /// Defers removals at least until @p end, since another gateway found the store unavailable.
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -39,6 +39,8 @@
     , platform_(platform)
     , hooks_(std::move(hooks))
     , relay_(io, relayHooks())
+    , unreadableConfigs_(platform.configKind(), LogLevel::Error)
+    , unreadableServers_(platform.serverKind(), LogLevel::Warning)
 {
     configWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(), KindWatcher::Settings{.kind = platform.configKind()}, configHooks());
     serverWatcher_ = std::make_shared<KindWatcher>(io.get_executor(), platform.store(),
@@ -344,7 +346,7 @@
     }
     auto config = platform_.decodeConfig(object);
     if (!config) {
-        logLine(LogLevel::Error, "cannot decode the configuration; not applied", {{"object_version", objectVersion}});
+        unreadableConfigs_.report(object);
         return false;
     }
     if (config_ && config->version <= config_->version) {
@@ -368,8 +370,8 @@
             const auto id = server->id;
             servers.insert_or_assign(id, *std::move(server));
         } else {
-            logLine(LogLevel::Warning, "registration of a server cannot be read and is left out",
-                    {{"server", object.name}, {"object_version", object.version}});
+            unreadableServers_.report(object);
+            registry_.discard(VmId(object.name));
         }
     }
     logLine(LogLevel::Info, "servers listed", {{"servers", static_cast<std::uint64_t>(servers.size())}});
@@ -387,9 +389,8 @@
         }
         auto server = platform_.decodeServer(event.object);
         if (!server) {
-            logLine(LogLevel::Warning, "registration of a server cannot be read and is left out",
-                    {{"server", id.str()}, {"object_version", event.object.version}});
-            registry_.remove(id, clock_.now());
+            unreadableServers_.report(event.object);
+            registry_.discard(id);
             continue;
         }
         if (server->isLeaving) {
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -6,6 +6,7 @@
 #include "gateway/server_registry.h"
 #include "gateway/store_reachability.h"
 #include "gateway/store_watch_state.h"
+#include "gateway/unreadable_objects.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -117,6 +118,8 @@
     std::shared_ptr<KindWatcher> serverWatcher_;
     ChangeRelay relay_;
     ServerRegistry registry_;
+    UnreadableObjects unreadableConfigs_;
+    UnreadableObjects unreadableServers_;
     StoreReachability reachability_;
     ServiceConfigPtr config_;
     std::uint64_t configVersion_ = 0; // object version of the configuration
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,11 +1,11 @@
 #include "observe/log.h"
 
+#include "core/utf8.h"
 #include "observe/decision_log.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 #include <boost/json/value.hpp>
-#include <boost/locale/utf.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -69,24 +69,7 @@
     return state;
 }
 
-/// Replaces invalid UTF-8 by U+FFFD, because Boost.JSON does not check it.
-std::string replaceInvalidUtf8(std::string_view text)
-{
-    using Traits = boost::locale::utf::utf_traits<char>;
-    std::string result;
-    result.reserve(text.size());
-    for (auto position = text.begin(); position != text.end();) {
-        const auto start = position;
-        if (boost::locale::utf::is_valid_codepoint(Traits::decode(position, text.end()))) {
-            result.append(start, position);
-        } else {
-            result.append("\xEF\xBF\xBD");
-            position = start + 1;
-        }
-    }
-    return result;
-}
-
+/// Boost.JSON does not check UTF-8.
 std::string quoteJson(std::string_view text)
 {
     return boost::json::serialize(boost::json::string_view(replaceInvalidUtf8(text)));
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -38,6 +38,7 @@
      "Requests lost with their servers before an answer (own), and reports of other daemons with such evidence (peer)"},
     {"carawaypoint_server_statements_total", "statement", "Responses in which a backend server states that it leaves or accepts no requests for a time"},
     {"carawaypoint_unread_requests_total", "code", "Requests that a gateway refused before it had read them"},
+    {"carawaypoint_unreadable_objects_total", "kind", "Objects of the store that were left out because they cannot be read, each revision once"},
 };
 // In the order of GaugeMetric.
 constexpr MetricInfo GaugeInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -31,6 +31,7 @@
     CrashEvidence, // source: own, peer
     ServerStatements, // statement: leaving, deferred, malformed
     UnreadRequests, // code: name of the result code
+    UnreadableObjects, // kind
 };
 
 /// Gauges. The comment names the label and, after a colon, its values.
--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -91,6 +91,9 @@
     }
     std::optional<BackendServer> decodeServer(const StoredObject &object) const override
     {
+        if (object.value.empty()) {
+            return std::nullopt;
+        }
         BackendServer server;
         server.id = VmId(object.name);
         return server;
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -409,6 +409,24 @@
     EXPECT_FALSE(registry.servers().contains(head.id));
 }
 
+// Guards against a replica member that stays in use for seconds although its registration names no server any more. Only what is gone may have lapsed.
+TEST(ServerRegistry, keepsNothingOfARegistrationThatNamesNoServer)
+{
+    auto member = makeServer("member");
+    member.membership = ReplicaMembership{ReplicaId("r"), 1, 1, MembershipState::Ready};
+    ServerRegistry registry;
+    registry.set(member);
+    registry.recordStoreFailure();
+    registry.remove(member.id, Start);
+    ASSERT_EQ(registry.servers().size(), 1U) << "its removal is deferred";
+    registry.takeChange(Start);
+    registry.discard(member.id);
+    EXPECT_TRUE(registry.servers().empty());
+    EXPECT_TRUE(registry.takeChange(Start));
+    registry.recordStoreAnswer(Start);
+    EXPECT_FALSE(registry.takeChange(Start + minutes(1)));
+}
+
 TEST(LoadReportCodec, encodesAndDecodes)
 {
     const GatewayLoadReport report{MemberId("g"), 5, 6, {{VmId("x"), 7, 70, true, false}, {VmId("y"), 8, 0, false, true}}, 9};
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -1,6 +1,7 @@
 // Tests when a gateway that follows the store through relays calls the store itself.
 
 #include "gateway/store_mirror.h"
+#include "observe/metrics.h"
 #include "tests/gateway/fake_platform.h"
 
 #include <boost/asio/io_context.hpp>
@@ -165,4 +166,35 @@
     EXPECT_TRUE(mirror_.servers().empty());
 }
 
+// Guards against requests to a server whose registration another writer has replaced by one that cannot be read, also while removals are deferred,
+// and against a list of all servers, or a log line, for each heartbeat of such a writer.
+TEST_F(DirectStoreMirrorTest, serverWhoseRegistrationCannotBeReadLeavesTheViewAtOnce)
+{
+    const auto reported = [] {
+        const auto text = metricsRegistry().serialize();
+        const std::string name = R"(carawaypoint_unreadable_objects_total{kind="servers"} )";
+        const auto position = text.find(name);
+        return position == std::string::npos ? 0.0 : std::stod(text.substr(position + name.size()));
+    };
+    store_.put("servers", "vm-2", "{}", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().size() == 2; }, seconds(1));
+    const auto lists = mirror_.serverListCount();
+    const auto before = reported();
+    mirror_.recordStoreResult(std::make_error_code(std::errc::timed_out), {});
+    store_.put("servers", "vm-1", "", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().size() == 1; }, seconds(1));
+    ASSERT_EQ(mirror_.servers().size(), 1U);
+    EXPECT_EQ(mirror_.servers().begin()->first.str(), "vm-2");
+    EXPECT_EQ(mirror_.serverListCount(), lists);
+    EXPECT_EQ(reported(), before + 1);
+
+    mirror_.relistServers();
+    runUntil([this, lists] { return mirror_.serverListCount() > lists; }, seconds(1));
+    EXPECT_EQ(mirror_.servers().size(), 1U);
+    EXPECT_EQ(reported(), before + 1) << "a list repeats what is known";
+    store_.put("servers", "vm-1", "{}", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().size() == 2; }, seconds(1));
+    EXPECT_EQ(mirror_.servers().size(), 2U) << "it can be read again";
+}
+
 }
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -1,9 +1,8 @@
 #include "core/result_code.h"
 #include "platform/http_order_client.h"
-#include "platform/platform_object_store.h"
 #include "platform/record_decoder.h"
 #include "platform/wire_names.h"
-#include "tests/support/scripted_http_server.h"
+#include "tests/platform/platform_store_fixture.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -26,31 +25,6 @@
     return text;
 }
 
-std::string entry(const std::string &name, int revision)
-{
-    return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(revision) + R"(},"spec":{"a":1},"status":null})";
-}
-
-/// Connects a PlatformObjectStore to a scripted HTTP server and runs it until the operation's handler was called.
-class PlatformStore : public testing::Test
-{
-protected:
-    void startServer(ScriptedHttpServer::Script script)
-    {
-        server_ = std::make_unique<ScriptedHttpServer>(io_, std::move(script));
-        store_ = std::make_unique<PlatformObjectStore>(io_.get_executor(), server_->endpoint());
-    }
-    void runUntil(const bool &isDone)
-    {
-        while (!isDone && io_.run_one() > 0) {
-        }
-    }
-
-    boost::asio::io_context io_;
-    std::unique_ptr<ScriptedHttpServer> server_;
-    std::unique_ptr<PlatformObjectStore> store_;
-};
-
 }
 
 TEST(RecordDecoder, parsesAServerRegistration)
