Send names with any byte to followers

The name of an object of another writer may hold a zero byte. A relay's notice cut it there, so that its followers took the change for one of another object.

ChangeNotice.namesMayHoldAnyByte failed before ("M\xFCn" instead of "M\xFCn\0chen").

--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -41,7 +41,7 @@
 {
     auto list = root.initChanges(static_cast<unsigned>(changes.size()));
     for (unsigned i = 0; i < list.size(); ++i) {
-        list[i].setName(changes[i].object.name);
+        list[i].setName({changes[i].object.name.c_str(), changes[i].object.name.size()});
         list[i].setVersion(changes[i].object.version);
         list[i].setIsRemoved(changes[i].isRemoved);
         list[i].setValue(changes[i].object.value);
@@ -62,7 +62,7 @@
     std::vector<ObjectEvent> changes;
     for (const auto change : root.getChanges()) {
         ObjectEvent event;
-        event.object.name = change.getName().cStr();
+        event.object.name.assign(change.getName().begin(), change.getName().size()); // may contain any byte
         event.object.version = change.getVersion();
         event.object.value = change.getValue().cStr();
         event.isRemoved = change.getIsRemoved();
--- a/tests/gateway/change_feed_test.cpp
+++ b/tests/gateway/change_feed_test.cpp
@@ -252,6 +252,22 @@
     EXPECT_EQ(request->request->configVersion, 3U);
 }
 
+// Guards against followers that drop or mistake what another writer has named: the name may hold any byte, and an object without a value is sent on.
+TEST(ChangeNotice, namesMayHoldAnyByte)
+{
+    const std::string name("M\xfcn\0chen", 8);
+    ChangeNotice notice;
+    notice.fromRevision = 4;
+    notice.toRevision = 5;
+    notice.changes.push_back({{.kind = "servers", .name = name, .version = 5, .value = ""}, false});
+    const auto read = decodeChangeMessage(encodeNotice(notice).front());
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->notice.changes.size(), 1U);
+    EXPECT_EQ(read->notice.changes.front().object.name, name);
+    EXPECT_TRUE(read->notice.changes.front().object.value.empty());
+    EXPECT_FALSE(read->notice.changes.front().isRemoved);
+}
+
 // Guards against a malformed notice after which removed servers stay in the list for weeks.
 TEST(ChangeNotice, limitsTheDeferralOfRemovals)
 {
