Read each object by itself in the store client of serve, too

An object without a name or a version still makes the answer malformed, and so does a VM list with an invalid entry, which the platform alone writes.

HttpObjectStoreTest.unreadableValueHidesNoOtherObject failed before. Not seen with callers.

--- a/src/objects/http_object_store.cpp
+++ b/src/objects/http_object_store.cpp
@@ -1,6 +1,7 @@
 #include "objects/http_object_store.h"
 
 #include "core/json_reader.h"
+#include "core/json_splitter.h"
 #include "core/result_code.h"
 
 #include <boost/asio/post.hpp>
@@ -63,45 +64,65 @@
     return reader.isGood();
 }
 
-std::optional<ListResult> parseList(const std::string &body, std::string_view kind)
+/// An object that cannot be parsed, without its value: what one program has written must not hide the objects of the others.
+bool readUnreadableObject(std::string_view text, std::string_view kind, StoredObject &object)
 {
-    const auto json = parseJson(body);
-    if (!json) {
-        return std::nullopt;
+    auto name = decodeJsonString(findJsonMember(text, "name"));
+    const auto version = parseJson(findJsonMember(text, "version"));
+    if (!name || !version) {
+        return false;
     }
+    boost::json::error_code error;
+    object.kind = kind;
+    object.name = *std::move(name);
+    object.version = version->to_number<std::uint64_t>(error);
+    return !error;
+}
+
+bool readObjectText(std::string_view text, std::string_view kind, StoredObject &object, bool isValueOptional)
+{
+    const auto json = parseJson(text);
+    return json ? readObject(*json, kind, object, isValueOptional) : readUnreadableObject(text, kind, object);
+}
+
+/// Reads the revision and the array @p key of the answer to a list or a watch, whose elements are read one by one.
+std::optional<std::vector<std::string_view>> splitAnswer(std::string_view body, std::string_view key, std::uint64_t &revision)
+{
+    const auto members = splitJsonObject(body).value_or(std::vector<JsonMember>());
+    const auto number = parseJson(findJsonMember(members, "revision"));
+    boost::json::error_code error;
+    revision = number ? number->to_number<std::uint64_t>(error) : 0;
+    return number && !error ? splitJsonArray(findJsonMember(members, key)) : std::nullopt;
+}
+
+std::optional<ListResult> parseList(std::string_view body, std::string_view kind)
+{
     ListResult result;
-    JsonReader reader(*json);
-    reader.read("revision", result.revision);
-    const auto *items = reader.array("objects");
-    if (!reader.isGood()) {
+    const auto items = splitAnswer(body, "objects", result.revision);
+    if (!items) {
         return std::nullopt;
     }
-    for (const auto &item : *items) {
-        if (!readObject(item, kind, result.objects.emplace_back(), false)) {
+    for (const auto item : *items) {
+        if (!readObjectText(item, kind, result.objects.emplace_back(), false)) {
             return std::nullopt;
         }
     }
     return result;
 }
 
-std::optional<WatchResult> parseWatch(const std::string &body, std::string_view kind)
+std::optional<WatchResult> parseWatch(std::string_view body, std::string_view kind)
 {
-    const auto json = parseJson(body);
-    if (!json) {
-        return std::nullopt;
-    }
     WatchResult result;
-    JsonReader reader(*json);
-    reader.read("revision", result.revision);
-    const auto *items = reader.array("events");
-    if (!reader.isGood()) {
+    const auto items = splitAnswer(body, "events", result.revision);
+    if (!items) {
         return std::nullopt;
     }
-    for (const auto &item : *items) {
+    for (const auto item : *items) {
         auto &event = result.events.emplace_back();
-        JsonReader fields(item);
-        fields.read("removed", event.isRemoved, true);
-        if (!fields.isGood() || !readObject(item, kind, event.object, event.isRemoved)) {
+        const auto removed = findJsonMember(item, "removed");
+        event.isRemoved = removed == "true";
+        const bool isFlagValid = removed.empty() || removed == "true" || removed == "false";
+        if (!isFlagValid || !readObjectText(item, kind, event.object, event.isRemoved)) {
             return std::nullopt;
         }
     }
--- a/tests/objects/object_store_test.cpp
+++ b/tests/objects/object_store_test.cpp
@@ -110,6 +110,34 @@
     }
 }
 
+// Guards against a daemon that learns nothing of the other objects because of one value that cannot be read.
+TEST_F(HttpObjectStoreTest, unreadableValueHidesNoOtherObject)
+{
+    const std::string unreadable = R"({"name":"b","version":2,"value":"M\udcfcnchen"})";
+    const std::string sound = R"({"name":"a","version":1,"value":"v"})";
+    script = ScriptedHttpServer::answer(200, R"({"revision":5,"objects":[)" + unreadable + "," + sound + "]}");
+    store->list("domain", [this](std::error_code error, const ListResult &result) {
+        EXPECT_FALSE(error);
+        ASSERT_EQ(result.objects.size(), 2U);
+        EXPECT_EQ(result.objects[0].name, "b");
+        EXPECT_EQ(result.objects[0].version, 2U);
+        EXPECT_TRUE(result.objects[0].value.empty());
+        EXPECT_EQ(result.objects[1].value, "v");
+        ++calls;
+    });
+    run();
+    script = ScriptedHttpServer::answer(200, R"({"revision":6,"events":[)" + unreadable + "," + sound + "]}");
+    store->watch("domain", 3, milliseconds(10), [this](std::error_code error, const WatchResult &result) {
+        EXPECT_FALSE(error);
+        EXPECT_EQ(result.revision, 6U);
+        ASSERT_EQ(result.events.size(), 2U);
+        EXPECT_TRUE(result.events[0].object.value.empty());
+        EXPECT_EQ(result.events[1].object.value, "v");
+        ++calls;
+    });
+    run();
+}
+
 struct MemoryObjectStoreTest : testing::Test {
     std::pair<std::error_code, std::uint64_t> put(std::string_view value, WriteCondition condition)
     {
