Attribute crashes to the whole request beside its parts

Cause: where a request names parts, only these were its traits, and each answer to another request with them clears them, rightly. The request itself had no trait. Evidence: the `crash recorded` lines name the parts only; without the session's requests the case holds.

Change: path, customer and body are a trait beside the parts, whatever the other header fields are. Answers to other requests do not clear it.

CrashQuarantineTest.evidenceOfOtherGatewaysIsUsed took four crashes of one and the same request for proof against another request with the same part, which is this fault. Its crashes are those of four unlike requests now, all other expectations are the same.

--- a/src/gateway/request_traits.cpp
+++ b/src/gateway/request_traits.cpp
@@ -21,17 +21,15 @@
                                    const ServerPool &pool,
                                    const CustomerId &customer)
 {
-    const auto seed = appendHash(appendHash(0, pool.first.str()), pool.second.str());
     std::vector<TraitId> traits;
     if (names.parsePromptParts != nullptr) {
+        const auto seed = appendHash(appendHash(0, pool.first.str()), pool.second.str());
         for (const auto part : names.parsePromptParts(request[names.promptParts])) {
             traits.push_back(XXH3_64bits_withSeed(&part, sizeof(part), seed));
         }
     }
-    if (traits.empty()) {
-        const std::string_view target = request.target();
-        traits.push_back(appendHash(appendHash(appendHash(seed, target), customer.str()), request.body()));
-    }
+    const std::string_view target = request.target();
+    traits.push_back(appendHash(appendHash(appendHash(0, target), customer.str()), request.body()));
     return traits;
 }
 
--- a/src/routing/crash_attribution.cpp
+++ b/src/routing/crash_attribution.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Slots for the latest answers. More than the traits that a gateway sees in the time for which answers matter.
-constexpr std::size_t AnswerSlots = 4096;
+constexpr std::size_t AnswerSlots = 8192;
 /// Answers added to the measured ones, so that a gateway with few requests does not take one loss for a large share.
 constexpr double AssumedAnswers = 200;
 /// Larger than the number of crashes that is kept, which means that nothing is quarantined.
--- a/src/routing/crash_attribution.h
+++ b/src/routing/crash_attribution.h
@@ -11,7 +11,7 @@
 namespace carawaypoint
 {
 
-/// Something that requests can share: a part of their prompt, or the fingerprint of the whole request.
+/// Something that requests can share: a part of their prompt, or the fingerprint of the whole request, which comes again unchanged.
 using TraitId = std::uint64_t;
 
 /// Identifies the end of one server process, so that gateways that saw the same one count it once.
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -136,6 +136,23 @@
     EXPECT_EQ(send("/r/other", "").status(), 200);
 }
 
+// Guards against a request that comes again and is never held back, because other requests of its session, which share its parts, are answered
+// before each crash and between the crashes (review/8).
+TEST_F(CrashQuarantineTest, repeatedRequestOfASessionIsRefusedAndTheOthersAreServed)
+{
+    startCrashingServers(16);
+    int status = 0;
+    for (int number = 0; number < 8; ++number) {
+        EXPECT_EQ(send("/s/" + std::to_string(number), "a1:40,b1:9").status(), 200);
+        status = send("/s/dead", "a1:40,b1:9").status();
+    }
+    EXPECT_EQ(status, 503);
+    EXPECT_LE(crashes_, 5);
+    EXPECT_EQ(send("/s/dead", "a2:40,b2:9").status(), 503) << "with other parts";
+    EXPECT_EQ(send("/s/other", "a1:40,b1:9").status(), 200);
+    EXPECT_LE(crashes_, 5);
+}
+
 // Guards against requests that crash one server after the other just after the first event: the event was taken for an answer, which cleared
 // the evidence.
 TEST_F(CrashQuarantineTest, requestsThatCrashServersAfterTheFirstEventAreRefused)
@@ -215,15 +232,13 @@
 {
     startCrashingServers(4);
     CrashQuarantine peer(minutes(10));
-    const std::vector<TraitId> traits = requestTraits(names_,
-                                                      {boost::beast::http::verb::post, "/s/", 11, "",
-                                                       [] {
-                                                           boost::beast::http::fields fields;
-                                                           fields.set("X-Parts", "dead:8");
-                                                           return fields;
-                                                       }()},
-                                                      {ServiceId("drafting"), ModelId("m")}, CustomerId("customer-1"));
     for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+        boost::beast::http::fields fields;
+        fields.set("X-Parts", "dead:8");
+        // No two of the requests are alike.
+        const boost::beast::http::request<boost::beast::http::string_body> request(boost::beast::http::verb::post, "/s/", 11, "turn " + std::to_string(crash),
+                                                                                   std::move(fields));
+        const auto traits = requestTraits(names_, request, {ServiceId("drafting"), ModelId("m")}, CustomerId("customer-1"));
         peer.recordLostServer(VmId("other"), crash, "q", traits, context_->now() - seconds(5 - crash));
     }
     runOnTrafficThread([&] { context_->quarantine.merge(MemberId("peer"), peer.evidenceForReport(context_->now()), context_->now()); });
--- a/tests/routing/crash_attribution_test.cpp
+++ b/tests/routing/crash_attribution_test.cpp
@@ -209,10 +209,14 @@
         double lossesPerSecond = 0; // of servers, for other reasons
         unsigned lossSize = 1; // servers lost at the same time
         unsigned subjects = 60; // first parts, shared by sound and harmful requests
+        Duration repeatInterval{}; // of one request that crashes servers and comes again unchanged; zero: there is none
+        unsigned sessions = 0; // the repeated request names the part of these in turn; 0: a part of its own each time
+        double sessionPerSecond = 0; // sound requests of each of the sessions
     };
     struct Outcome {
         unsigned crashes = 0; // by harmful requests
         unsigned lateHarmful = 0; // harmful requests that reached servers after the fifth crash and the time to spread
+        unsigned lateRepeats = 0; // attempts of the repeated request that reached servers after the third crash and the time to spread
         unsigned sound = 0;
         unsigned refusedSound = 0;
         unsigned quarantines = 0;
@@ -235,6 +239,8 @@
             loseServers(time);
             arrive(load_.soundPerSecond, false, time, contactTime);
             arrive(load_.harmfulPerSecond, true, time, contactTime);
+            arriveOfSessions(time, contactTime);
+            arriveRepeated(time, contactTime);
             if (time.count() % Duration(ReportInterval).count() == 0) {
                 exchange(time, hops, lossShare);
             }
@@ -256,6 +262,8 @@
     static constexpr Duration ReportInterval{milliseconds(150)};
     static constexpr Duration WaitTime{milliseconds(120)}; // until the answer of a request begins
     static constexpr Duration RestartTime{seconds(4)};
+    static constexpr TraitId FirstSession = 1100000;
+    static constexpr TraitId Repeated = 1200000; // the whole repeated request
 
     struct Request {
         std::vector<TraitId> traits;
@@ -284,10 +292,44 @@
                 request.traits.push_back(Harmful);
             }
             request.traits.push_back(nextOwnPart_++);
+            request.traits.push_back(nextOwnPart_++); // of the whole request
             send(std::move(request), time, contactTime);
         }
     }
 
+    /// The same first part and the part of the session @p number.
+    std::vector<TraitId> sessionParts(unsigned number) const
+    {
+        return {1, FirstSession + number};
+    }
+
+    void arriveOfSessions(Duration time, Duration contactTime)
+    {
+        std::poisson_distribution<unsigned> count(load_.sessionPerSecond * std::chrono::duration<double>(Step).count());
+        for (unsigned session = 0; session < load_.sessions; ++session) {
+            for (auto left = count(random_); left > 0; --left) {
+                Request request{sessionParts(session), random_() % gateways_.size(), {}, false, false};
+                request.traits.push_back(nextOwnPart_++);
+                send(std::move(request), time, contactTime);
+            }
+        }
+    }
+
+    /// The repeated request comes to the gateways in turn.
+    void arriveRepeated(Duration time, Duration contactTime)
+    {
+        if (load_.repeatInterval == Duration{} || time % load_.repeatInterval != Duration{}) {
+            return;
+        }
+        const auto count = repeats_++;
+        Request request{
+            load_.sessions > 0 ? sessionParts(count % load_.sessions) : std::vector<TraitId>{1, nextOwnPart_++}, count % gateways_.size(), {}, true, false};
+        request.traits.push_back(Repeated);
+        const auto mayCome = gateways_[request.gateway].quarantineLeft(request.traits, at(time)) == Duration{};
+        outcome_.lateRepeats += mayCome && thirdCrashAt_ && time >= *thirdCrashAt_ + contactTime ? 1 : 0;
+        send(std::move(request), time, contactTime);
+    }
+
     void send(Request request, Duration time, Duration contactTime)
     {
         outcome_.sound += request.isHarmful || request.isRepeat ? 0 : 1;
@@ -311,6 +353,9 @@
             while (!server.requests.empty() && server.requests.front().beginsAt <= time) {
                 if (server.requests.front().isHarmful) {
                     ++outcome_.crashes;
+                    if (outcome_.crashes == 3) {
+                        thirdCrashAt_ = time;
+                    }
                     if (outcome_.crashes == 5) {
                         fifthCrashAt_ = time;
                     }
@@ -383,7 +428,9 @@
     std::vector<CrashAttribution> gateways_;
     std::vector<Server> servers_;
     std::deque<std::vector<std::vector<TraitEvidence>>> delayed_;
+    std::optional<Duration> thirdCrashAt_;
     std::optional<Duration> fifthCrashAt_;
+    std::size_t repeats_ = 0;
     TraitId nextOwnPart_ = 2000000;
     unsigned rounds_ = 0;
     Outcome outcome_;
@@ -473,4 +520,66 @@
     EXPECT_TRUE(simulation.refuses(2, seconds(13)));
 }
 
+/// A request that comes again unchanged, and what else there is of its sessions.
+struct RepeatCase {
+    const char *name;
+    Duration interval;
+    unsigned sessions;
+    double sessionPerSecond;
+};
+
+constexpr RepeatCase RepeatCases[] = {
+    {"sound requests of its session", milliseconds(2500), 1, 10},
+    {"sound requests of its session, one at a time", milliseconds(2500), 1, 0.4},
+    {"sound requests of its session, rare", seconds(8), 1, 10},
+    {"sound requests of its session, frequent", milliseconds(400), 1, 10},
+    {"two sessions in turn", milliseconds(2500), 2, 5},
+    {"other parts each time", milliseconds(2500), 0, 0},
+    {"no other request of its session", milliseconds(2500), 1, 0},
+    {"no other request of its two sessions", milliseconds(2500), 2, 0},
+};
+
+// Load: one request crashes its servers and comes again, with the parts of sessions whose other requests are answered. Guards against a request that
+// is never held back because answers to others of its session clear it, or because its parts differ, and against refused sound requests.
+TEST(CrashAttributionSimulation, repeatedRequestIsRefusedAndOthersOfItsSessionAreServed)
+{
+    for (const auto &fleet : FleetCases) {
+        const bool isLarge = fleet.gateways > 100; // its simulation takes seconds
+        for (const auto &repeat : RepeatCases) {
+            for (std::uint64_t seed = 1; seed <= (isLarge ? 1 : 3); ++seed) {
+                CrashSimulation simulation(fleet.gateways, fleet.servers,
+                                           {.soundPerSecond = fleet.soundPerSecond,
+                                            .harmfulPerSecond = 0,
+                                            .lossesPerSecond = 0.1,
+                                            .repeatInterval = repeat.interval,
+                                            .sessions = repeat.sessions,
+                                            .sessionPerSecond = repeat.sessionPerSecond},
+                                           seed);
+                const auto outcome = simulation.run(isLarge ? seconds(20) : 20 * repeat.interval, fleet.hops, 0.05, fleet.contactTime);
+                EXPECT_LE(outcome.lateRepeats, 3U) << fleet.name << ", " << repeat.name << ", seed " << seed;
+                EXPECT_LE(outcome.crashes, MaxCrashes) << fleet.name << ", " << repeat.name << ", seed " << seed;
+                EXPECT_EQ(outcome.refusedSound, 0U) << fleet.name << ", " << repeat.name << ", seed " << seed;
+            }
+        }
+    }
+}
+
+// Guards against a request that is served each time it comes with other parts: a part of its first crashes does not stand for it.
+TEST(CrashAttribution, repeatedRequestWithOtherPartsCrashesOneMoreServer)
+{
+    constexpr TraitId Request = 1200000;
+    CrashAttribution attribution;
+    recordOtherAnswers(attribution, Duration{});
+    for (unsigned number = 1; number <= 3; ++number) {
+        attribution.recordCrash(number, std::vector<TraitId>{7, Request}, at(seconds(number)));
+    }
+    EXPECT_GT(attribution.quarantineLeft(std::vector<TraitId>{7, Request}, at(seconds(4))), Duration{});
+    EXPECT_EQ(attribution.quarantineLeft(std::vector<TraitId>{7, 1200001}, at(seconds(4))), Duration{}) << "another request of its session";
+    attribution.recordCrash(4, std::vector<TraitId>{8, Request}, at(seconds(4)));
+    for (TraitId part = 7; part <= 10; ++part) {
+        EXPECT_GT(attribution.quarantineLeft(std::vector<TraitId>{part, Request}, at(seconds(5))), Duration{}) << part;
+        EXPECT_EQ(attribution.quarantineLeft(std::vector<TraitId>{part, 1200001}, at(seconds(5))), Duration{}) << part;
+    }
+}
+
 }
