Keep the evidence of a repeated request among many traits

The evidence is bounded, and a new trait replaces one with a single crash. A request with many parts could so replace the evidence of its own first crash before the second one was recorded.

Known traits are handled first, there is room for 256 traits instead of 64, and a load report carries all 33 traits of one request.

CrashAttribution.repeatedRequestOutlastsItsParts failed before.

--- a/src/gateway/load_report_codec.cpp
+++ b/src/gateway/load_report_codec.cpp
@@ -20,8 +20,8 @@
 constexpr double MaxUnmetRequests = 1e6;
 /// Older counts are not used at all; a report with more is malformed.
 constexpr Duration MaxCountAge = seconds(2);
-/// Traits in one report, at least as many as one request can have. Those with most crashes are sent.
-constexpr std::size_t MaxTraits = 32;
+/// Traits in one report: as many as one request can have, 32 parts and itself. Those with most crashes are sent.
+constexpr std::size_t MaxTraits = 33;
 constexpr std::size_t MaxCrashes = 8; // latest ones of one trait
 
 void encodeEvidence(std::span<const TraitEvidence> evidence, wire::LoadReport::Builder root)
--- a/src/routing/crash_attribution.cpp
+++ b/src/routing/crash_attribution.cpp
@@ -78,8 +78,11 @@
 {
     startWindow(now);
     ++counts_.lost;
+    // New traits may replace others that have one crash. The known ones go first, so that their second crash keeps them.
+    std::vector<TraitId> ordered(traits.begin(), traits.end());
+    std::stable_partition(ordered.begin(), ordered.end(), [this](TraitId trait) { return traits_.contains(trait); });
     bool hasChanged = false;
-    for (const auto trait : traits) {
+    for (const auto trait : ordered) {
         if (wasAnsweredSince(trait, now - settings_.recentAnswerTime)) {
             continue;
         }
--- a/src/routing/crash_attribution.h
+++ b/src/routing/crash_attribution.h
@@ -53,7 +53,8 @@
     Duration retention{hours(1)};
     Duration disprovedRetention{minutes(1)}; // since the answer; copies of disproved evidence can still arrive
     Duration sendTime{milliseconds(1500)}; // changed evidence is sent in all messages for this time, since some of them are lost
-    std::size_t maxTraits = 64;
+    /// Several times the traits of the requests that one crash hits, so that a trait is still known when it crashes the next server.
+    std::size_t maxTraits = 256;
     std::size_t maxCrashesPerTrait = 16;
 };
 
--- a/tests/routing/crash_attribution_test.cpp
+++ b/tests/routing/crash_attribution_test.cpp
@@ -582,4 +582,22 @@
     }
 }
 
+// Guards against a repeated request that is forgotten between its crashes because the requests lost with it have many parts.
+TEST(CrashAttribution, repeatedRequestOutlastsItsParts)
+{
+    constexpr TraitId Request = 1200000;
+    CrashAttribution attribution;
+    recordOtherAnswers(attribution, Duration{});
+    TraitId nextPart = 1;
+    for (unsigned number = 1; number <= 3; ++number) {
+        std::vector<TraitId> traits;
+        for (std::size_t count = 0; count < CrashAttributionSettings().maxTraits; ++count) {
+            traits.push_back(nextPart++);
+        }
+        traits.push_back(Request);
+        attribution.recordCrash(number, traits, at(seconds(number)));
+    }
+    EXPECT_GT(attribution.quarantineLeft(std::vector<TraitId>{Request}, at(seconds(4))), Duration{});
+}
+
 }
