--- a/soak/model_servers.cpp
+++ b/soak/model_servers.cpp
@@ -99,6 +99,7 @@
                         {"slots", 8},
                         {"state", server.isDraining ? "draining" : "ready"},
                         {"cold_ms", 0},
+                        {"seq", 0},
                         {"born", server.startedAtMs}};
     if (!server.domain.empty()) {
         record["domain"] = server.domain;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -4,9 +4,14 @@
 #include "platform/wire_names.h"
 #include "tests/platform/platform_store_fixture.h"
 
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+
 namespace carawaypoint
 {
 
@@ -60,6 +65,37 @@
     EXPECT_FALSE(decodeServerRecord("i", replaceText(record, R"("state":"open")", R"("state":"odd")")));
 }
 
+// Guards against requests to an address that another writer names in an entry with some of a server's fields: what answers there is no server
+// (review/7).
+TEST(RecordDecoder, rejectsEntriesThatLackAFieldOfAServer)
+{
+    const auto record = boost::json::parse(Record).as_object();
+    ASSERT_TRUE(decodeServerRecord("i", boost::json::serialize(record)));
+    for (const auto *field : {"service", "address", "zone", "version", "slots", "state", "cold_ms", "seq"}) {
+        auto entry = record;
+        entry.erase(field);
+        EXPECT_FALSE(decodeServerRecord("i", boost::json::serialize(entry))) << "without " << field;
+    }
+    const std::vector<boost::json::value> values{nullptr, true, -1, 7, 1.5, "text", boost::json::array{}, boost::json::object{}};
+    const std::map<std::string, std::set<std::size_t>> allowed{{"service", {5}}, {"zone", {5}},   {"version", {5}}, {"slots", {3}},     {"cold_ms", {2, 3, 4}},
+                                                               {"seq", {3}},     {"domain", {5}}, {"born", {3}},    {"models", {0, 6}}, {"staged", {0, 6}},
+                                                               {"group", {0}},   {"address", {}}, {"state", {}}};
+    for (const auto &[field, good] : allowed) {
+        for (std::size_t index = 0; index < values.size(); ++index) {
+            auto entry = record;
+            entry[field] = values[index];
+            const auto text = boost::json::serialize(entry);
+            EXPECT_EQ(decodeServerRecord("i", text).has_value(), good.contains(index)) << text;
+        }
+    }
+    for (const auto *text : {R"({"models":[7]})", R"({"models":[{"name":7}]})", R"({"staged":["m",7]})"}) {
+        auto entry = record;
+        const auto change = boost::json::parse(text).as_object();
+        entry[change.begin()->key()] = change.begin()->value();
+        EXPECT_FALSE(decodeServerRecord("i", boost::json::serialize(entry))) << text;
+    }
+}
+
 // Guards against times of replicas that are predicted from missing or misread figures of the engine.
 TEST(RecordDecoder, parsesTheFiguresOfAnEngine)
 {
--- a/tests/process/gateway_process_fixture.cpp
+++ b/tests/process/gateway_process_fixture.cpp
@@ -94,6 +94,7 @@
                              {"slots", 64},
                              {"state", "ready"},
                              {"cold_ms", 0},
+                             {"seq", 0},
                              {"born", 1}});
 }
 
