Let child processes inherit no sockets

The gateways of the soak inherited the listening sockets of its stand-in servers.

Cause: descriptors are inherited on exec unless they are marked or closed.

Change: the soak and the test cluster close all descriptors but the standard ones before they execute a program.

--- a/soak/gateway_process.cpp
+++ b/soak/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "soak/gateway_process.h"
 
+#include "standins/child_process.h"
+
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -33,6 +35,7 @@
         const int log = ::open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        standins::closeInheritedDescriptors();
         ::execl(binary_.c_str(), binary_.c_str(), "gateway", "--settings", settingsPath_.c_str(), nullptr);
         ::_exit(127);
     }
--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -1,5 +1,7 @@
 #include "daemon/test_cluster.h"
 
+#include "standins/child_process.h"
+
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
@@ -140,6 +142,7 @@
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
+    standins::closeInheritedDescriptors();
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
     for (const auto &argument : command) {
