Divide the answers of both stores by one piece of code

Both store clients divided an answer into its members, its array and its revision: StoreAnswer::split() does it for lists and watches of both. Numbers were read by from_chars() in one and by the parser in the other; decodeJsonNumber() serves both. The mirror reported and discarded a registration in two places.

Tests are unchanged.

--- a/src/core/json_splitter.cpp
+++ b/src/core/json_splitter.cpp
@@ -1,8 +1,13 @@
 #include "core/json_splitter.h"
 
+#include "core/json_reader.h"
+
+#include <boost/locale/utf.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <iterator>
 #include <utility>
 
 namespace carawaypoint
@@ -134,26 +139,10 @@
     return isWhole ? std::optional(unit) : std::nullopt;
 }
 
+/// Also for surrogates, which are no characters.
 void appendUtf8(std::string &target, std::uint32_t codePoint)
 {
-    const auto appendTail = [&target, codePoint](unsigned shift) {
-        target += static_cast<char>(0x80U | ((codePoint >> shift) & 0x3FU));
-    };
-    if (codePoint < 0x80) {
-        target += static_cast<char>(codePoint);
-    } else if (codePoint < 0x800) {
-        target += static_cast<char>(0xC0U | (codePoint >> 6U));
-        appendTail(0);
-    } else if (codePoint < 0x10000) {
-        target += static_cast<char>(0xE0U | (codePoint >> 12U));
-        appendTail(6);
-        appendTail(0);
-    } else {
-        target += static_cast<char>(0xF0U | (codePoint >> 18U));
-        appendTail(12);
-        appendTail(6);
-        appendTail(0);
-    }
+    boost::locale::utf::utf_traits<char>::encode(codePoint, std::back_inserter(target));
 }
 
 /// Decodes the escape at the start of @p text, after the backslash, and removes it; false when it is unknown.
@@ -258,4 +247,12 @@
     return result;
 }
 
+std::optional<std::uint64_t> decodeJsonNumber(std::string_view text)
+{
+    const auto value = parseJson(text);
+    boost::json::error_code error;
+    const auto number = value ? value->to_number<std::uint64_t>(error) : 0;
+    return value && !error ? std::optional(number) : std::nullopt;
+}
+
 }
--- a/src/core/json_splitter.h
+++ b/src/core/json_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -33,4 +34,7 @@
 /// half of an escaped surrogate pair as the three bytes that UTF-8 would use for it. Empty when @p text is no string or has an unknown escape.
 std::optional<std::string> decodeJsonString(std::string_view text);
 
+/// The value of the JSON number @p text; empty when it is no whole number that fits.
+std::optional<std::uint64_t> decodeJsonNumber(std::string_view text);
+
 }
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -370,14 +370,20 @@
             const auto id = server->id;
             servers.insert_or_assign(id, *std::move(server));
         } else {
-            unreadableServers_.report(object);
-            registry_.discard(VmId(object.name));
+            leaveOut(object);
         }
     }
     logLine(LogLevel::Info, "servers listed", {{"servers", static_cast<std::uint64_t>(servers.size())}});
     registry_.replaceAll(std::move(servers), clock_.now());
 }
 
+/// The registration @p object names no server that can be used.
+void StoreMirror::leaveOut(const StoredObject &object)
+{
+    unreadableServers_.report(object);
+    registry_.discard(VmId(object.name));
+}
+
 void StoreMirror::applyServerEvents(std::span<const ObjectEvent> events)
 {
     for (const auto &event : events) {
@@ -389,8 +395,7 @@
         }
         auto server = platform_.decodeServer(event.object);
         if (!server) {
-            unreadableServers_.report(event.object);
-            registry_.discard(id);
+            leaveOut(event.object);
             continue;
         }
         if (server->isLeaving) {
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -109,6 +109,7 @@
     /// Decodes and applies a configuration if it is newer. Returns whether it was.
     bool applyConfig(std::uint64_t objectVersion, const StoredObject &object);
     void applyServers(std::span<const StoredObject> objects);
+    void leaveOut(const StoredObject &object);
     void applyServerEvents(std::span<const ObjectEvent> events);
 
     const Clock &clock_;
--- a/src/objects/http_object_store.cpp
+++ b/src/objects/http_object_store.cpp
@@ -3,6 +3,7 @@
 #include "core/json_reader.h"
 #include "core/json_splitter.h"
 #include "core/result_code.h"
+#include "objects/store_answer.h"
 
 #include <boost/asio/post.hpp>
 
@@ -64,19 +65,18 @@
     return reader.isGood();
 }
 
-/// An object that cannot be parsed, without its value: what one program has written must not hide the objects of the others.
+/// An object that cannot be parsed, without its value.
 bool readUnreadableObject(std::string_view text, std::string_view kind, StoredObject &object)
 {
     auto name = decodeJsonString(findJsonMember(text, "name"));
-    const auto version = parseJson(findJsonMember(text, "version"));
+    const auto version = decodeJsonNumber(findJsonMember(text, "version"));
     if (!name || !version) {
         return false;
     }
-    boost::json::error_code error;
     object.kind = kind;
     object.name = *std::move(name);
-    object.version = version->to_number<std::uint64_t>(error);
-    return !error;
+    object.version = *version;
+    return true;
 }
 
 bool readObjectText(std::string_view text, std::string_view kind, StoredObject &object, bool isValueOptional)
@@ -85,24 +85,15 @@
     return json ? readObject(*json, kind, object, isValueOptional) : readUnreadableObject(text, kind, object);
 }
 
-/// Reads the revision and the array @p key of the answer to a list or a watch, whose elements are read one by one.
-std::optional<std::vector<std::string_view>> splitAnswer(std::string_view body, std::string_view key, std::uint64_t &revision)
-{
-    const auto members = splitJsonObject(body).value_or(std::vector<JsonMember>());
-    const auto number = parseJson(findJsonMember(members, "revision"));
-    boost::json::error_code error;
-    revision = number ? number->to_number<std::uint64_t>(error) : 0;
-    return number && !error ? splitJsonArray(findJsonMember(members, key)) : std::nullopt;
-}
-
 std::optional<ListResult> parseList(std::string_view body, std::string_view kind)
 {
-    ListResult result;
-    const auto items = splitAnswer(body, "objects", result.revision);
-    if (!items) {
+    const auto answer = StoreAnswer::split(body, "objects", "revision");
+    if (!answer) {
         return std::nullopt;
     }
-    for (const auto item : *items) {
+    ListResult result;
+    result.revision = answer->revision;
+    for (const auto item : answer->elements) {
         if (!readObjectText(item, kind, result.objects.emplace_back(), false)) {
             return std::nullopt;
         }
@@ -112,12 +103,13 @@
 
 std::optional<WatchResult> parseWatch(std::string_view body, std::string_view kind)
 {
-    WatchResult result;
-    const auto items = splitAnswer(body, "events", result.revision);
-    if (!items) {
+    const auto answer = StoreAnswer::split(body, "events", "revision");
+    if (!answer) {
         return std::nullopt;
     }
-    for (const auto item : *items) {
+    WatchResult result;
+    result.revision = answer->revision;
+    for (const auto item : answer->elements) {
         auto &event = result.events.emplace_back();
         const auto removed = findJsonMember(item, "removed");
         event.isRemoved = removed == "true";
