--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -216,6 +216,10 @@
         // Unexpected bytes after the answer make the connection unusable for further requests.
         isReusable = parser.keep_alive() && buffer.size() == 0;
         answer.status = parser.get().result_int();
+        answer.headers.clear();
+        for (const auto &field : parser.get()) {
+            answer.headers.emplace_back(field.name_string(), field.value());
+        }
         answer.body = std::move(parser.get().body());
         stream->expires_never();
         co_return std::error_code{};
--- a/src/core/http_client.h
+++ b/src/core/http_client.h
@@ -28,6 +28,7 @@
 struct HttpAnswer {
     unsigned status = 0;
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers; // in the order of the answer
 };
 
 /// HTTP/1.1 client with a limited pool of keep-alive connections for each endpoint.
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -2,6 +2,7 @@
 
 #include "core/result_code.h"
 #include "gateway/fleet_records.h"
+#include "objects/store_version.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 
@@ -125,9 +126,18 @@
     const bool wasAnswering = mirror_.isStoreAnswering();
     mirror_.recordStoreResult(error, callTime);
     if (wasAnswering && !mirror_.isStoreAnswering()) {
-        logLine(LogLevel::Warning, "store lost", {{"call", what}, {"error", error.message()}});
+        logLine(LogLevel::Warning, "store lost",
+                {{"call", what},
+                 {"error", error.message()},
+                 {"era", storeEraOf(mirror_.configRevision())},
+                 {"config_revision", storeCounterOf(mirror_.configRevision())},
+                 {"server_revision", storeCounterOf(mirror_.serverRevision())}});
     } else if (!wasAnswering && mirror_.isStoreAnswering()) {
-        logLine(LogLevel::Info, "store regained", {{"call", what}});
+        logLine(LogLevel::Info, "store regained",
+                {{"call", what},
+                 {"era", storeEraOf(mirror_.configRevision())},
+                 {"config_revision", storeCounterOf(mirror_.configRevision())},
+                 {"server_revision", storeCounterOf(mirror_.serverRevision())}});
         polledAt_ = {};
     }
 }
--- a/src/gateway/kind_watcher.cpp
+++ b/src/gateway/kind_watcher.cpp
@@ -1,5 +1,8 @@
 #include "gateway/kind_watcher.h"
 
+#include "objects/store_version.h"
+#include "observe/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -147,6 +150,13 @@
             return;
         }
         self->failures_ = 0;
+        logLine(LogLevel::Info, "objects listed",
+                {{"kind", self->settings_.kind},
+                 {"objects", static_cast<std::uint64_t>(result.objects.size())},
+                 {"era", storeEraOf(result.revision)},
+                 {"revision", storeCounterOf(result.revision)},
+                 {"known_era", storeEraOf(self->revision_)},
+                 {"known_revision", storeCounterOf(self->revision_)}});
         self->revision_ = result.revision;
         self->isListStale_ = isStale;
         ++self->listCount_;
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -88,6 +88,16 @@
     {
         return registry_.servers();
     }
+    /// Store revision up to which the configuration is followed.
+    std::uint64_t configRevision() const
+    {
+        return configWatcher_->revision();
+    }
+    /// Same for the servers.
+    std::uint64_t serverRevision() const
+    {
+        return serverWatcher_->revision();
+    }
     const RelayPlan &plan() const
     {
         return relay_.plan();
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -39,6 +39,9 @@
     {"carawaypoint_server_statements_total", "statement", "Responses in which a backend server states that it leaves or accepts no requests for a time"},
     {"carawaypoint_unread_requests_total", "code", "Requests that a gateway refused before it had read them"},
     {"carawaypoint_unreadable_objects_total", "kind", "Objects of the store that were left out because they cannot be read, each revision once"},
+    {"carawaypoint_store_eras_total", "change",
+     "Times that the store came back from an older copy (risen) or was behind a known revision (receded), and its answers from an ended era (outdated) or with "
+     "an invalid era (malformed)"},
 };
 // In the order of GaugeMetric.
 constexpr MetricInfo GaugeInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -32,6 +32,7 @@
     ServerStatements, // statement: leaving, deferred, malformed
     UnreadRequests, // code: name of the result code
     UnreadableObjects, // kind
+    StoreEras, // change: risen, receded, outdated, malformed
 };
 
 /// Gauges. The comment names the label and, after a colon, its values.
