Take the era of the store for a part of each version

What callers saw: requests on a route that a confirmed version had added got 404 from many gateways, for as long as nothing else changed.

Cause: a store that comes back from an older copy gives out its revisions again. A gateway watched from a revision of the time before; when the store had passed it again, the watch succeeded and never mentioned the version that was written below it. The class of fault: a counter that another party may set back is taken for monotonic.

An answer of another era than the watched one, and one below the watched counter, lead to a list.

--- a/src/objects/memory_object_store.cpp
+++ b/src/objects/memory_object_store.cpp
@@ -1,6 +1,7 @@
 #include "objects/memory_object_store.h"
 
 #include "core/result_code.h"
+#include "objects/store_version.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,7 +18,10 @@
 template<typename Handler, typename... Results>
 void MemoryObjectStore::postResponse(Handler handler, std::error_code error, Results... results)
 {
-    auto call = [handler = std::move(handler), error, ... results = std::move(results)] {
+    auto call = [this, isAnswer = !isUnavailable_, handler = std::move(handler), error, ... results = std::move(results)] {
+        if (isAnswer) {
+            showEra();
+        }
         handler(error, results...);
     };
     if (delay_ == Duration{}) {
@@ -28,6 +32,20 @@
     timer->async_wait([timer, call = std::move(call)](const boost::system::error_code &) { call(); });
 }
 
+void MemoryObjectStore::showEra()
+{
+    const auto era = storeEraOf(revision_);
+    const auto before = std::exchange(shownEra_, era);
+    if (before != era && onRestoration_) {
+        onRestoration_(before, era);
+    }
+}
+
+void MemoryObjectStore::setRestorationHandler(RestorationHandler handler)
+{
+    onRestoration_ = std::move(handler);
+}
+
 std::error_code MemoryObjectStore::admitWrite(const std::string &kind, const std::string &name, const WriteCondition &condition, bool &isResponseLost)
 {
     ++calls_;
@@ -74,6 +92,7 @@
 {
     WatchResult result;
     result.revision = revision_;
+    // A revision of an earlier era is below the oldest.
     if (revision < oldestWatchableRevision_ || revision > revision_) {
         result.isListRequired = true;
         return result;
@@ -95,7 +114,8 @@
     }
     const auto found = objects_.find({std::string(kind), std::string(name)});
     if (found == objects_.end()) {
-        postResponse(std::move(handler), ResultCode::ObjectNotFound, StoredObject{});
+        postResponse(std::move(handler), ResultCode::ObjectNotFound,
+                     StoredObject{.kind = {}, .name = {}, .version = storeVersion(storeEraOf(revision_), 0), .value = {}});
         return;
     }
     postResponse(std::move(handler), {}, found->second);
@@ -221,6 +241,17 @@
     endWatches();
 }
 
+void MemoryObjectStore::restoreInNewEra(const Copy &copy)
+{
+    auto restored = copy;
+    const auto era = storeEraOf(revision_) + 1;
+    restored.revision = storeVersion(era, storeCounterOf(copy.revision));
+    for (auto &[key, object] : restored.objects) {
+        object.version = storeVersion(era, storeCounterOf(object.version));
+    }
+    restore(restored);
+}
+
 void MemoryObjectStore::setVms(std::vector<VmRecord> vms)
 {
     vms_ = std::move(vms);
--- a/src/objects/memory_object_store.h
+++ b/src/objects/memory_object_store.h
@@ -34,6 +34,7 @@
     void list(std::string_view kind, ListHandler handler) override;
     void watch(std::string_view kind, std::uint64_t afterRevision, Duration wait, WatchHandler handler) override;
     void listVms(VmListHandler handler) override;
+    void setRestorationHandler(RestorationHandler handler) override;
 
     /// While down, every call fails with PlatformUnavailable and has no effect.
     void setDown(bool isDown);
@@ -46,6 +47,8 @@
     Copy copy() const;
     /// Replaces the contents and the revision by those of @p copy, and ends pending watches.
     void restore(const Copy &copy);
+    /// Same, and starts a new era, which the next answer shows.
+    void restoreInNewEra(const Copy &copy);
     void setVms(std::vector<VmRecord> vms);
     /// Answers all pending watches without events.
     void endWatches();
@@ -73,6 +76,7 @@
 
     template<typename Handler, typename... Results>
     void postResponse(Handler handler, std::error_code error, Results... results);
+    void showEra();
     std::error_code admitWrite(const std::string &kind, const std::string &name, const WriteCondition &condition, bool &isResponseLost);
     void applyChange(StoredObject object, bool isRemoved);
     WatchResult changesAfter(const std::string &kind, std::uint64_t revision) const;
@@ -84,6 +88,8 @@
     std::list<Watch> watches_;
     std::vector<VmRecord> vms_;
     std::uint64_t revision_ = 0;
+    std::uint64_t shownEra_ = 0;
+    RestorationHandler onRestoration_;
     std::uint64_t calls_ = 0;
     std::uint64_t writes_ = 0;
     Duration delay_{};
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -18,7 +18,7 @@
 struct StoredObject {
     std::string kind;
     std::string name;
-    std::uint64_t version = 0; // the store's revision at the object's last write
+    std::uint64_t version = 0; // the store's revision at the object's last write; of an absent object the era without a counter
     std::string value;
 };
 
@@ -73,7 +73,8 @@
     }
 };
 
-/// The platform's object API. Every call counts against the platform's rate limits, including a pending watch.
+/// The platform's object API. Versions and revisions are ordered pairs of era and counter, see store_version.h. Every call counts against the platform's rate
+/// limits, including a pending watch.
 ///
 /// Handlers run on the executor that the implementation was built with and are called exactly once. Errors are
 /// PlatformUnavailable and PlatformTimeout (no response was received, and a write may have taken effect), VersionConflict,
@@ -89,6 +90,8 @@
     using DoneHandler = std::function<void(std::error_code)>;
     using ListHandler = std::function<void(std::error_code, ListResult)>;
     using WatchHandler = std::function<void(std::error_code, WatchResult)>;
+    /// @param before, @param era the era before and the new one.
+    using RestorationHandler = std::function<void(std::uint64_t before, std::uint64_t era)>;
     using VmListHandler = std::function<void(std::error_code, std::vector<VmRecord>)>;
 
     virtual ~ObjectStore() = default;
@@ -105,6 +108,12 @@
     /// Calls @p handler when an object of @p kind has changed after @p afterRevision, or without events after @p wait.
     virtual void watch(std::string_view kind, std::uint64_t afterRevision, Duration wait, WatchHandler handler) = 0;
     virtual void listVms(VmListHandler handler) = 0;
+    /// @p handler is called when an answer shows that the store came back from an older copy, before the handler of that answer. A store that states
+    /// no era never calls it.
+    virtual void setRestorationHandler(RestorationHandler handler)
+    {
+        static_cast<void>(handler);
+    }
 };
 
 }
