End the lease of a store's era that has ended, and never give its terms again

What would be seen: two holders of the lease that act at the same time, or orders refused for their term, after the store came back from an older copy.

Cause: a record that is older than the known one was taken for a stale read, so that its absence was never noticed; a holder acted on a lease that the store no longer had; the next term was counted from the copy's record, which may be below terms that servers have seen.

Change: the first answer of a higher era ends the lease. Its holder takes it again by a conditional write, all others wait until a lease of the ended era has run out everywhere. The high bits of a term are the era, and no process counts below the highest term it has seen. Whether a term had a predecessor is asked of the lease rather than read from the number. Gateways list all that they follow as soon as any answer shows a higher era, instead of when their watch ends.

Evidence: the four new tests of ControlLease fail when onStoreRestored() does nothing and terms are counted from the record, and pass with the change. Remains: a gateway that starts after the restoration and finds no lease, or a released one, takes it at once; a former holder cut off from the store may act for the rest of its 2.8 s, and servers refuse its lower term only where fencing is required.

--- a/src/fleet/control_lease.h
+++ b/src/fleet/control_lease.h
@@ -28,19 +28,23 @@
 /// Decides when a daemon takes, renews and loses the lease of the replica controller.
 ///
 /// The lease only keeps two controllers from working against each other. Safety depends on the term: it forms the high bits of every
-/// epoch in the holder's orders, and a backend server refuses an order below the highest epoch that it has seen.
+/// epoch in the holder's orders, and a backend server refuses an order below the highest epoch that it has seen. The high bits of a term are the era
+/// of the store in which it began, so that terms never go back when the store does.
 class ControlLease
 {
 public:
     struct Write {
         LeaseRecord record;
-        std::uint64_t expectedVersion = 0; // 0 when the object must not exist
+        std::uint64_t expectedVersion = 0; // without a counter when the object must not exist
     };
 
     ControlLease(MemberId self, std::uint64_t process, LeaseSettings settings = {});
 
-    /// Processes the lease object as read from the store. Version 0 means that the object does not exist.
+    /// Processes the lease object as read from the store. A version without a counter means that the object does not exist.
     void onObjectRead(const LeaseRecord &record, std::uint64_t version, TimePoint now);
+    /// The store came back from an older copy. The lease that was held there has ended, and the copy may show an earlier one that has not run out. Nobody
+    /// takes it before a lease of the former era has run out everywhere, except for the gateway that held that one.
+    void onStoreRestored(TimePoint now);
     /// The write that is due now, if any. At most one write is in flight.
     std::optional<Write> takeWrite(TimePoint now);
     void onWriteSucceeded(std::uint64_t version);
@@ -66,7 +70,12 @@
     {
         return record_;
     }
-    /// Version of the lease object in the store; 0 when none is known.
+    /// Whether another term came before the one that is held, so that orders of its holder may still be carried out.
+    bool hasPredecessor() const
+    {
+        return hasPredecessor_;
+    }
+    /// Version of the lease object in the store; without a counter when none is known.
     std::uint64_t version() const
     {
         return version_;
@@ -78,17 +87,23 @@
 
 private:
     bool isOwn() const;
+    std::uint64_t nextTerm() const;
 
     MemberId self_;
     std::uint64_t process_;
     LeaseSettings settings_;
     LeaseRecord record_;
     std::uint64_t version_ = 0;
+    std::uint64_t highestTerm_ = 0; // that was seen; the store's copy of the record may fall back
+    TimePoint takeNotBefore_{}; // while a lease of an ended era may be held
+    bool wasRestored_ = false; // the store, in the lifetime of this process
+    bool hasPredecessor_ = false;
     bool mustRead_ = true;
     bool isDoubted_ = false; // a server has seen a higher term
     TimePoint versionSeenAt_{}; // when this daemon first saw the current version
     std::optional<Write> pendingWrite_;
     TimePoint pendingSentAt_{}; // when the pending write was sent
+    bool isPendingOutdated_ = false; // the store was restored after the pending write was sent
     std::optional<TimePoint> renewalSentAt_; // when the last successful renewal was sent
 };
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -64,9 +64,10 @@
               clock,
               platform,
               {.onChange = [this] { publishIfChanged(); },
-               .onStoreResult =
-                   [this](std::string_view what, std::error_code error, Duration callTime) {
-                       recordStoreResult(what, error, callTime);
+               .onStoreResult = [this](std::string_view what, std::error_code error, Duration callTime) { recordStoreResult(what, error, callTime); },
+               .onRelayedRestoration =
+                   [this] {
+                       onStoreRestored();
                    }})
     , lease_(platform.store(),
              leaseClock_,
@@ -80,6 +81,7 @@
         runReplicaController();
     })
 {
+    platform.store().setRestorationHandler([this](std::uint64_t, std::uint64_t) { onStoreRestored(); });
 }
 
 std::error_code FleetControl::open(const Endpoint &changes)
@@ -142,6 +144,13 @@
     }
 }
 
+void FleetControl::onStoreRestored()
+{
+    lease_.onStoreRestored();
+    mirror_.onStoreRestored();
+    polledAt_ = {};
+}
+
 void FleetControl::publishIfChanged()
 {
     isPublishPending_ = mirror_.takeChange() || isPublishPending_;
@@ -269,7 +278,7 @@
     }
     isRecordMissing_ = !isListed;
     registerSelf();
-    lease_.onLeaseRead(lease);
+    lease_.onLeaseRead(lease, list.revision);
     isNewFleet_ = lease == nullptr;
     mirror_.setPlan(RelayPlan(self(), peers), lease_.isHeld());
     if (!mirror_.isStarted()) {
@@ -295,13 +304,13 @@
         termStartedAt_ = now;
         listCountAtTermStart_ = mirror_.serverListCount();
         // The first term has no predecessor whose last orders could be missing from the list.
-        if (activeTerm_ > 1) {
+        if (lease_.hasPredecessor()) {
             mirror_.relistServers();
         }
         controller_.startTerm(activeTerm_, now);
         logLine(LogLevel::Info, "lease of the replica controller held", {{"term", activeTerm_}});
     }
-    const bool isSettled = activeTerm_ == 1 || (now - termStartedAt_ >= TermStartDelay && mirror_.serverListCount() > listCountAtTermStart_);
+    const bool isSettled = !lease_.hasPredecessor() || (now - termStartedAt_ >= TermStartDelay && mirror_.serverListCount() > listCountAtTermStart_);
     if (!isSettled) {
         return;
     }
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -49,6 +49,8 @@
 
 private:
     void recordStoreResult(std::string_view what, std::error_code error, Duration callTime);
+    /// The store came back from an older copy: what was written there since is gone, the lease and the record of this daemon too.
+    void onStoreRestored();
     void publishIfChanged();
 
     void tick();
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "core/result_code.h"
 #include "gateway/fleet_records.h"
+#include "objects/store_version.h"
 #include "observe/log.h"
 
 #include <utility>
@@ -20,16 +21,23 @@
 {
 }
 
-void LeaseKeeper::onLeaseRead(const StoredObject *object)
+void LeaseKeeper::onLeaseRead(const StoredObject *object, std::uint64_t revision)
 {
     isKnown_ = true;
     if (object != nullptr) {
         lease_.onObjectRead(decodeLease(object->value), object->version, clock_.now());
     } else {
-        lease_.onObjectRead({}, 0, clock_.now());
+        lease_.onObjectRead({}, storeVersion(storeEraOf(revision), 0), clock_.now());
     }
 }
 
+void LeaseKeeper::onStoreRestored()
+{
+    lease_.onStoreRestored(clock_.now());
+    isReadOutdated_ = isReading_;
+    lastReadAt_ = {};
+}
+
 void LeaseKeeper::onOrderRefused()
 {
     lease_.onOrderRefused();
@@ -39,7 +47,7 @@
 
 bool LeaseKeeper::isDelayed() const
 {
-    return lease_.version() == 0 && clock_.now() - startedAt_ < settings_.firstTakeDelay;
+    return storeCounterOf(lease_.version()) == 0 && clock_.now() - startedAt_ < settings_.firstTakeDelay;
 }
 
 void LeaseKeeper::update()
@@ -67,7 +75,7 @@
         const bool isOutdated = std::exchange(isReadOutdated_, false);
         const bool isAbsent = error == ResultCode::ObjectNotFound;
         if (isAbsent) {
-            onLeaseRead(nullptr);
+            onLeaseRead(nullptr, object.version);
         } else if (!error) {
             onLeaseRead(&object);
         }
@@ -80,7 +88,7 @@
 
 void LeaseKeeper::write(const ControlLease::Write &write)
 {
-    const auto condition = write.expectedVersion == 0 ? WriteCondition::ifAbsent() : WriteCondition::ifVersion(write.expectedVersion);
+    const auto condition = storeCounterOf(write.expectedVersion) == 0 ? WriteCondition::ifAbsent() : WriteCondition::ifVersion(write.expectedVersion);
     store_.put(kind_, ObjectName, encodeLease(write.record), condition, [this, sentAt = clock_.now()](std::error_code error, std::uint64_t version) {
         if (error) {
             logLine(LogLevel::Warning, "lease write failed", {{"error", error.message()}});
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -29,8 +29,10 @@
     /// @param onResult called after each call to the store with its error, if any, and the time since it was sent.
     LeaseKeeper(ObjectStore &store, const Clock &clock, std::string kind, ControlLease lease, Settings settings, ResultHook onResult);
 
-    /// The lease was read, in a list of daemons or on its own. @p object is null when it does not exist.
-    void onLeaseRead(const StoredObject *object);
+    /// The lease was read, in a list of daemons or on its own. @p object is null when it does not exist at @p revision of the store.
+    void onLeaseRead(const StoredObject *object, std::uint64_t revision = 0);
+    /// The store came back from an older copy: the lease of the era that has ended is no longer held.
+    void onStoreRestored();
     /// A server refused an order because it has seen a higher term: mayAct() returns false until the store shows that the lease is held.
     void onOrderRefused();
     /// Reads or writes the lease if that is due.
@@ -47,6 +49,11 @@
     {
         return lease_.mayAct(clock_.now());
     }
+    /// Whether another term came before the one that is held.
+    bool hasPredecessor() const
+    {
+        return lease_.hasPredecessor();
+    }
     std::uint64_t term() const
     {
         return lease_.term();
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "gateway/store_mirror.h"
 
+#include "objects/store_version.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 
@@ -132,8 +133,12 @@
         hooks_.onChange();
     };
     hooks.onList = [this](std::span<const StoredObject> objects, std::uint64_t revision) {
+        const bool isRestored = appliedRevision_ != 0 && storeEraOf(revision) > storeEraOf(appliedRevision_);
         serverWatcher_->adoptList(revision);
         appliedRevision_ = revision;
+        if (isRestored) {
+            hooks_.onRelayedRestoration();
+        }
         applyServers(objects);
         confirmIfCurrent();
         hooks_.onChange();
@@ -195,6 +200,15 @@
     serverWatcher_->relist();
 }
 
+void StoreMirror::onStoreRestored()
+{
+    for (const auto &watcher : {configWatcher_, serverWatcher_}) {
+        if (isStarted_ && !watcher->isSuspended()) {
+            watcher->relist();
+        }
+    }
+}
+
 void StoreMirror::recordStoreResult(std::error_code error, Duration callTime)
 {
     if (!error) {
@@ -349,17 +363,20 @@
         unreadableConfigs_.report(object);
         return false;
     }
+    const bool isNewObject = objectVersion > configVersion_;
+    configVersion_ = std::max(configVersion_, objectVersion);
     if (config_ && config->version <= config_->version) {
-        configVersion_ = std::max(configVersion_, objectVersion);
-        return false;
+        return isNewObject;
     }
     logDecision("configuration", "fleet", "applied", "the store holds a newer version",
-                {{"version", config->version}, {"object_version", objectVersion}, {"routes", static_cast<std::uint64_t>(config->routeCount())}});
+                {{"version", config->version},
+                 {"era", storeEraOf(objectVersion)},
+                 {"object_version", storeCounterOf(objectVersion)},
+                 {"routes", static_cast<std::uint64_t>(config->routeCount())}});
     metricsRegistry().set(GaugeMetric::ConfigGeneration, {}, static_cast<double>(config->version));
     config_ = std::move(config);
-    configVersion_ = objectVersion;
     isConfigChanged_ = true;
-    return true;
+    return isNewObject;
 }
 
 void StoreMirror::applyServers(std::span<const StoredObject> objects)
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -29,6 +29,8 @@
         std::function<void()> onChange;
         /// Called after each call to the store with its error, if any, and for a failed call the time since it was sent.
         std::function<void(std::string_view what, std::error_code error, Duration callTime)> onStoreResult;
+        /// Called when a relay, rather than an answer of the store, shows that the store came back from an older copy.
+        std::function<void()> onRelayedRestoration;
     };
 
     StoreMirror(boost::asio::io_context &io, const Clock &clock, FleetPlatform &platform, Hooks hooks);
@@ -56,6 +58,9 @@
     {
         return reachability_.isAnswering();
     }
+    /// The store came back from an older copy: what is followed is listed again, and what the copy says of servers that left shortly before is
+    /// not trusted for a while.
+    void onStoreRestored();
     /// Lists the servers again.
     void relistServers();
     std::uint64_t serverListCount() const
@@ -116,7 +121,8 @@
     void confirmIfCurrent();
     void recordStoreAnswer();
     void fetchMissing();
-    /// Decodes and applies a configuration if it is newer. Returns whether it was.
+    /// Decodes a configuration and applies it if it is newer than the known one, which the store of a later era may hold again at a later time.
+    /// Returns whether the object is a newer one.
     bool applyConfig(std::uint64_t objectVersion, const StoredObject &object);
     void applyServers(std::span<const StoredObject> objects);
     void leaveOut(const StoredObject &object);
--- a/tests/fleet/fleet_rules_test.cpp
+++ b/tests/fleet/fleet_rules_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet/replica_view.h"
 #include "fleet/service_config.h"
 #include "fleet/weight_load_limiter.h"
+#include "objects/store_version.h"
 
 #include <gtest/gtest.h>
 
@@ -196,6 +197,84 @@
     EXPECT_FALSE(holder.mayAct(now));
 }
 
+// Guards against two holders when the store comes back from an older copy, whose record names an earlier holder that still runs: it must not act before
+// the lease of the holder that the copy does not know has run out everywhere.
+TEST(ControlLease, earlierHolderInARestoredStoreWaitsForTheLeaseOfTheEndedEra)
+{
+    ControlLease earlier(MemberId("a"), 1);
+    ControlLease holder(MemberId("b"), 2);
+    const LeaseRecord old{MemberId("a"), 1, 4, 7};
+    auto now = Start;
+    earlier.onObjectRead(old, storeVersion(1, 50), now);
+    holder.onObjectRead(old, storeVersion(1, 50), now);
+    now += milliseconds(3600);
+    const auto take = holder.takeWrite(now);
+    ASSERT_TRUE(take);
+    holder.onWriteSucceeded(storeVersion(1, 60));
+    earlier.onObjectRead(take->record, storeVersion(1, 60), now);
+
+    earlier.onStoreRestored(now);
+    earlier.onObjectRead(old, storeVersion(2, 50), now);
+    EXPECT_FALSE(earlier.isHeld(now));
+    EXPECT_FALSE(earlier.takeWrite(now + milliseconds(2800)));
+    ASSERT_TRUE(holder.isHeld(now));
+    EXPECT_FALSE(holder.isHeld(now + milliseconds(2900)));
+    const auto again = earlier.takeWrite(now + milliseconds(3600));
+    ASSERT_TRUE(again);
+    EXPECT_GT(again->record.term, take->record.term);
+}
+
+// Guards against a holder that acts on a lease which the restored store does not have, and against one that waits although nobody else can hold it.
+TEST(ControlLease, holderTakesItsLeaseAgainInTheNewEra)
+{
+    ControlLease holder(MemberId("a"), 1);
+    auto now = Start;
+    holder.onObjectRead({}, storeVersion(1, 0), now);
+    const auto first = holder.takeWrite(now);
+    ASSERT_TRUE(first);
+    holder.onWriteSucceeded(storeVersion(1, 60));
+    ASSERT_TRUE(holder.isHeld(now));
+    EXPECT_FALSE(holder.hasPredecessor());
+
+    holder.onStoreRestored(now);
+    EXPECT_FALSE(holder.isHeld(now));
+    EXPECT_FALSE(holder.takeWrite(now)) << "what the copy holds is not known";
+    holder.onObjectRead({}, storeVersion(2, 0), now);
+    const auto again = holder.takeWrite(now);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(storeCounterOf(again->expectedVersion), 0U);
+    EXPECT_GT(again->record.term, first->record.term);
+    holder.onWriteSucceeded(storeVersion(2, 40));
+    EXPECT_TRUE(holder.isHeld(now));
+    EXPECT_TRUE(holder.hasPredecessor());
+}
+
+// Guards against a lease that is held because of a write which took effect in an era that has ended.
+TEST(ControlLease, writeFromBeforeARestorationHoldsNothing)
+{
+    ControlLease lease(MemberId("a"), 1);
+    lease.onObjectRead({}, storeVersion(1, 0), Start);
+    ASSERT_TRUE(lease.takeWrite(Start));
+    lease.onStoreRestored(Start);
+    lease.onWriteSucceeded(storeVersion(2, 30));
+    EXPECT_FALSE(lease.isHeld(Start));
+    EXPECT_TRUE(lease.mustRead());
+}
+
+// Guards against a fencing token that is given out twice: a gateway that has started after the restoration knows no term of the ended era.
+TEST(ControlLease, termsOfALaterEraAreHigherThanAllOfAnEarlierOne)
+{
+    ControlLease before(MemberId("a"), 1);
+    before.onObjectRead({MemberId("b"), 2, 4000, 1}, storeVersion(1, 50), Start);
+    const auto late = before.takeWrite(Start + seconds(4));
+    ASSERT_TRUE(late);
+    ControlLease after(MemberId("c"), 3);
+    after.onObjectRead({}, storeVersion(2, 0), Start);
+    const auto first = after.takeWrite(Start);
+    ASSERT_TRUE(first);
+    EXPECT_GT(first->record.term, late->record.term);
+}
+
 // Guards against reuse of the old term after a lapse, in which another daemon may have held the lease.
 TEST(ControlLease, holderStartsNewTermAfterItsLeaseLapsed)
 {
--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/json_reader.h"
 #include "gateway/fleet_platform.h"
 #include "objects/memory_object_store.h"
 
@@ -102,6 +103,8 @@
     {
         auto config = std::make_shared<ServiceConfig>();
         config->version = object.version;
+        const auto value = parseJson(object.value).value_or(boost::json::value());
+        JsonReader(value).read("version", config->version, true);
         return config;
     }
     const WireNames &wireNames() const override
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -28,11 +28,11 @@
         , mirror_(io_,
                   clock_,
                   platform_,
-                  {[] {},
-                   [this](std::string_view, std::error_code error, Duration callTime) {
-                       mirror_.recordStoreResult(error, callTime);
+                  {[] {}, [this](std::string_view, std::error_code error, Duration callTime) { mirror_.recordStoreResult(error, callTime); },
+                   [] {
                    }})
     {
+        store_.setRestorationHandler([this](std::uint64_t, std::uint64_t) { mirror_.onStoreRestored(); });
         store_.put("config", "main", "{}", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
         store_.put("servers", "vm-1", "{}", WriteCondition::always(), [](std::error_code, std::uint64_t) {});
         std::vector<PeerGateway> peers;
@@ -49,6 +49,27 @@
         runUntil([] { return false; }, time);
     }
 
+    void put(std::string_view kind, std::string_view name, std::string value)
+    {
+        store_.put(kind, name, std::move(value), WriteCondition::always(), [](std::error_code, std::uint64_t) {});
+    }
+
+    /// The store is away for a moment and comes back as @p copy. The operator writes @p config, if any, and others make @p writes changes before the
+    /// gateway calls it again.
+    void restore(const MemoryObjectStore::Copy &copy, unsigned writes, const std::string &config = {})
+    {
+        store_.setDown(true);
+        runFor(2 * Tick);
+        store_.restoreInNewEra(copy);
+        store_.setDown(false);
+        if (!config.empty()) {
+            put("config", "main", config);
+        }
+        for (unsigned number = 0; number < writes; ++number) {
+            put("daemons", "other", std::to_string(number));
+        }
+    }
+
     /// Runs until @p condition holds, at most for @p limit.
     void runUntil(const std::function<bool()> &condition, Duration limit = seconds(20))
     {
@@ -110,6 +131,65 @@
     }
 };
 
+// Guards against a confirmed configuration that is never in force: the store came back from an older copy and passed the watched revision before the
+// next watch, which then said nothing of the version that was written below it.
+TEST_F(DirectStoreMirrorTest, configurationOfARestoredStoreComesIntoForce)
+{
+    put("config", "main", R"({"version":10})");
+    runUntil([this] { return mirror_.config()->version == 10; }, seconds(1));
+    const auto copy = store_.copy();
+    for (unsigned number = 0; number < 20; ++number) {
+        put("servers", "vm-2", std::to_string(number));
+    }
+    runUntil([this] { return mirror_.servers().size() == 2; }, seconds(1));
+    restore(copy, 30, R"({"version":11})");
+    runUntil([this] { return mirror_.config()->version == 11; }, seconds(2));
+    EXPECT_EQ(mirror_.config()->version, 11U);
+}
+
+// Guards against a gateway that goes back to the configuration of an older copy before the operator has written the newer one again, and against one
+// that does not follow the store after that.
+TEST_F(DirectStoreMirrorTest, newestConfigurationStaysInForceUntilTheOperatorHasWrittenAgain)
+{
+    put("config", "main", R"({"version":10})");
+    const auto copy = store_.copy();
+    put("config", "main", R"({"version":11})");
+    runUntil([this] { return mirror_.config()->version == 11; }, seconds(1));
+    restore(copy, 0);
+    runFor(seconds(1));
+    EXPECT_EQ(mirror_.config()->version, 11U);
+    put("config", "main", R"({"version":12})");
+    runUntil([this] { return mirror_.config()->version == 12; }, seconds(1));
+    EXPECT_EQ(mirror_.config()->version, 12U);
+}
+
+// Guards against removing running servers that registered after the copy was made, and have not yet registered again.
+TEST_F(DirectStoreMirrorTest, serversThatTheOlderCopyLacksAreKeptUntilTheyRegisterAgain)
+{
+    const auto copy = store_.copy();
+    put("servers", "vm-2", "{}");
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().size() == 2; }, seconds(1));
+    restore(copy, 0);
+    runFor(seconds(1));
+    mirror_.takeChange();
+    EXPECT_EQ(mirror_.servers().size(), 2U);
+    runUntil([this] { return mirror_.takeChange() && mirror_.servers().size() == 1; }, seconds(4));
+    EXPECT_EQ(mirror_.servers().size(), 1U);
+}
+
+// Guards against a restoration that is missed because a second one follows before the gateway has listed anew.
+TEST_F(DirectStoreMirrorTest, storeIsRestoredTwiceInARow)
+{
+    put("config", "main", R"({"version":10})");
+    const auto copy = store_.copy();
+    put("config", "main", R"({"version":11})");
+    runUntil([this] { return mirror_.config()->version == 11; }, seconds(1));
+    restore(copy, 5, R"({"version":12})");
+    restore(copy, 10, R"({"version":13})");
+    runUntil([this] { return mirror_.config()->version == 13; }, seconds(2));
+    EXPECT_EQ(mirror_.config()->version, 13U);
+}
+
 // Guards against an old configuration in force for seconds after an outage of the store: the watch call for it, which the silent store had
 // swallowed, was left to time out although the store answered other calls again.
 TEST_F(DirectStoreMirrorTest, hangingWatchIsReplacedWhenTheStoreAnswersAnotherCall)
