Keep servers that have left out of a restored store's lists

What would be seen (DRAIN): requests at servers that were known to leave, or to be gone, because a store that came back from an older copy lists them as they were; and servers dropped that had registered after the copy was made.

Change: for five seconds after a restoration, a listed server whose process was known to leave or to be gone stays so until it writes again; after that the registration holds, since those of servers that are gone have lapsed.

Evidence: both new tests of ServerRegistry fail when recordRestoration() does nothing, and pass with the change.

--- a/src/gateway/server_registry.h
+++ b/src/gateway/server_registry.h
@@ -15,6 +15,11 @@
     Duration reregistrationGracePeriod{milliseconds(2200)};
     /// Time for which a replica member is kept after its registration lapsed.
     Duration lapsedMemberRetention{seconds(12)};
+    /// After the store came back from an older copy, servers have written again what they are by then, and the registrations of those that are gone
+    /// have lapsed.
+    Duration restorationTime{seconds(5)};
+    /// Time for which a server that has left is remembered; exceeds the age of the copies from which stores are restored.
+    Duration departureMemory{seconds(30)};
 };
 
 /// The registered backend servers.
@@ -24,6 +29,9 @@
 ///
 /// A replica member whose registration lapses may only have lost its connection to the store and work as before. It is kept, marked as
 /// lapsed: its replica continues to serve as long as its head is registered and its streams make progress.
+///
+/// A store that came back from an older copy lists servers as they were. One that was known to leave, or to be gone, stays so until its process writes
+/// to the store again or the restoration is over.
 class ServerRegistry
 {
 public:
@@ -37,6 +45,8 @@
     void discard(const VmId &id);
     void recordStoreFailure();
     void recordStoreAnswer(TimePoint now);
+    /// The store came back from an older copy; the lists that follow are of the new era.
+    void recordRestoration(TimePoint now);
     /// Defers removals at least until @p end, since another gateway found the store unavailable.
     void deferRemovalsUntil(TimePoint end);
     /// Time for which removals are still deferred.
@@ -50,13 +60,26 @@
     }
 
 private:
+    /// The process of a server that left or was removed.
+    struct Departure {
+        std::uint64_t startedAt = 0; // of the server's process
+        TimePoint at;
+    };
+
     bool mustDeferRemovals(TimePoint now) const;
+    void withholdOutdated(ServerMap &listed);
+    bool isKnownToLeave(const BackendServer &listed) const;
+    void endRestoration();
+    void recordDeparture(const BackendServer &server, TimePoint now);
     void applyRemoval(const VmId &id, TimePoint now);
 
     ServerRegistrySettings settings_;
     ServerMap servers_;
     std::set<VmId> deferredRemovals_;
     std::map<VmId, TimePoint> lapsedSince_;
+    std::map<VmId, Departure> departures_;
+    ServerMap withheld_; // registrations in the restored store that may be outdated
+    std::optional<TimePoint> restorationEnd_; // while the store's lists may be outdated
     bool isStoreFailing_ = false;
     TimePoint deferredUntil_{};
     std::optional<TimePoint> storeRecoveredAt_; // when the store last recovered from a failure
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -202,6 +202,7 @@
 
 void StoreMirror::onStoreRestored()
 {
+    registry_.recordRestoration(clock_.now());
     for (const auto &watcher : {configWatcher_, serverWatcher_}) {
         if (isStarted_ && !watcher->isSuspended()) {
             watcher->relist();
--- a/tests/gateway/gateway_parts_test.cpp
+++ b/tests/gateway/gateway_parts_test.cpp
@@ -386,6 +386,51 @@
     EXPECT_THAT(registry.servers(), IsEmpty());
 }
 
+// Guards against requests to servers that were known to leave, or to be gone, and that a store which came back from an older copy lists as ready.
+TEST(ServerRegistry, restoredStoreBringsNoServerBackThatHasLeft)
+{
+    ServerRegistry registry;
+    registry.replaceAll({{VmId("leaving"), makeServer("leaving")}, {VmId("gone"), makeServer("gone")}}, Start);
+    auto leaving = makeServer("leaving");
+    leaving.isLeaving = true;
+    registry.set(leaving);
+    registry.remove(VmId("gone"), Start);
+    auto restarted = makeServer("restarted");
+    restarted.isLeaving = true;
+    registry.set(restarted);
+    registry.takeChange(Start);
+
+    registry.recordRestoration(Start);
+    restarted.isLeaving = false;
+    restarted.startedAt = 1;
+    registry.replaceAll({{VmId("leaving"), makeServer("leaving")}, {VmId("gone"), makeServer("gone")}, {restarted.id, restarted}}, Start);
+    registry.takeChange(Start + seconds(4));
+    EXPECT_TRUE(registry.servers().at(VmId("leaving")).isLeaving);
+    EXPECT_FALSE(registry.servers().contains(VmId("gone")));
+    EXPECT_FALSE(registry.servers().at(VmId("restarted")).isLeaving) << "another process";
+}
+
+// Guards against servers that stay unused although they run: one that registers again, and one that is still registered when copies of the servers that
+// are gone have lapsed.
+TEST(ServerRegistry, restoredRegistrationsHoldWhenTheirServersHaveWrittenOrTheRestorationIsOver)
+{
+    ServerRegistry registry;
+    registry.replaceAll({{VmId("x"), makeServer("x")}, {VmId("y"), makeServer("y")}, {VmId("z"), makeServer("z")}}, Start);
+    for (const auto *id : {"x", "y", "z"}) {
+        registry.remove(VmId(id), Start);
+    }
+    registry.recordRestoration(Start);
+    registry.replaceAll({{VmId("x"), makeServer("x")}, {VmId("y"), makeServer("y")}, {VmId("z"), makeServer("z")}}, Start);
+    registry.takeChange(Start);
+    EXPECT_THAT(registry.servers(), IsEmpty());
+    registry.set(makeServer("x"));
+    registry.remove(VmId("z"), Start);
+    EXPECT_TRUE(registry.servers().contains(VmId("x")));
+    EXPECT_TRUE(registry.takeChange(Start + milliseconds(5100)));
+    EXPECT_TRUE(registry.servers().contains(VmId("y")));
+    EXPECT_FALSE(registry.servers().contains(VmId("z")));
+}
+
 // Guards against ending a replica although its member has only lost the connection to the store, and against requests to a head whose
 // registration has lapsed.
 TEST(ServerRegistry, keepsLapsedMembersButNotHeads)
