Register a gateway again in a restored store

What would be seen: load reports and change notices that never reach a gateway, since the list of gateways lacks it for good.

Cause: a gateway that had registered never looked again whether the store has its record.

Evidence: FleetControlTest.daemonRegistersAgainInARestoredStore fails without the change after 5 s and passes with it.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -148,6 +148,7 @@
 {
     lease_.onStoreRestored();
     mirror_.onStoreRestored();
+    isRegistered_ = false;
     polledAt_ = {};
 }
 
--- a/tests/gateway/fleet_control_test.cpp
+++ b/tests/gateway/fleet_control_test.cpp
@@ -93,4 +93,22 @@
     EXPECT_TRUE(holder.isEmpty());
 }
 
+// Guards against a gateway that other gateways do not know: the store came back from a copy that was made before it registered.
+TEST_F(FleetControlTest, daemonRegistersAgainInARestoredStore)
+{
+    const auto copy = store_.copy();
+    control_.start();
+    const auto isRegistered = [this] {
+        bool isFound = false;
+        store_.fetch("daemons", "daemon.self", [&isFound](std::error_code error, const StoredObject &) { isFound = !error; });
+        io_.poll();
+        return isFound;
+    };
+    ASSERT_TRUE(runUntil(isRegistered));
+    runUntil([] { return false; }, seconds(1));
+    store_.restoreInNewEra(copy);
+    ASSERT_FALSE(isRegistered());
+    EXPECT_TRUE(runUntil(isRegistered));
+}
+
 }
