Let the store of the soak come back from an older copy

The store takes a copy, is away for up to half a second, and comes back with the copy's objects and revisions, the next era in all answers, and 410 for watches from revisions that it does not have. It does so in series with the other faults, and, in half of the calm phases, just before a configuration is published below the revisions that gateways have seen.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -51,6 +51,10 @@
 constexpr std::size_t MaxStoppedGateways = 3;
 constexpr auto StopInterval = 1300ms; // between the signals to gateways that are stopped in turn
 constexpr auto ConfigApplyTime = 2200ms;
+constexpr auto OperatorDelay = 100ms; // before the operator writes again what a restored store has lost
+constexpr unsigned OtherWrites = 200;
+constexpr auto CopyAge = 1500ms;
+constexpr auto ContactTime = 3000ms; // after an outage of the store, until the time for a configuration to be in force counts again
 constexpr double MinServedFraction = 0.95;
 
 Defect parseDefect(const std::string &name)
@@ -128,6 +132,7 @@
     void publishConfig(const std::string &readService)
     {
         configVersion_ += 1 + random_() % 5;
+        configuredService_ = readService;
         store_.put("config", "main", makeConfig(configVersion_, readService));
     }
 
@@ -203,7 +208,7 @@
                                              &SoakRun::reloadGateway,         &SoakRun::injectStoreFault,     &SoakRun::injectServerLinkFault,
                                              &SoakRun::injectServerLinkFault, &SoakRun::injectStoreLinkFault, &SoakRun::makeServerUnreachable,
                                              &SoakRun::makeServerUnreachable, &SoakRun::drainServer,          &SoakRun::expireServerRegistration,
-                                             &SoakRun::changeConfig,          &SoakRun::forgetHistory};
+                                             &SoakRun::changeConfig,          &SoakRun::forgetHistory,        &SoakRun::restoreStore};
         const std::chrono::milliseconds duration(300 + random_() % 3000);
         const auto action = Actions[random_() % std::size(Actions)];
         co_await (this->*action)(duration);
@@ -316,6 +321,47 @@
         co_return;
     }
 
+    /// Writes of others, so that the store passes the revisions that are watched from.
+    void makeOtherWrites()
+    {
+        for (unsigned write = 0; write < OtherWrites; ++write) {
+            store_.put("others", "writer", ++lastOtherWrite_);
+        }
+    }
+
+    /// The store is away for a moment and comes back as it was @p age ago.
+    asio::awaitable<void> goBack(std::chrono::milliseconds age)
+    {
+        const auto copy = store_.copy();
+        makeOtherWrites();
+        co_await standins::sleepFor(age);
+        store_.setFault(StoreFault::Away);
+        co_await standins::sleepFor(std::chrono::milliseconds(random_() % 500));
+        store_.restore(*copy);
+        store_.setFault(StoreFault::None);
+    }
+
+    /// The servers and, after a while, the operator write again what the restored store has lost.
+    asio::awaitable<void> restoreStore(std::chrono::milliseconds age)
+    {
+        co_await goBack(age);
+        if (random_() % 2 == 0) {
+            makeOtherWrites();
+        }
+        co_await standins::sleepFor(OperatorDelay);
+        store_.put("config", "main", makeConfig(configVersion_, configuredService_));
+    }
+
+    /// Publishes a configuration right after the store went back, at a revision below those that gateways have seen.
+    asio::awaitable<void> publishConfigAfterRestoration(const std::string &service)
+    {
+        co_await goBack(CopyAge);
+        publishConfig(service);
+        makeOtherWrites();
+        makeOtherWrites();
+        co_await standins::sleepFor(ContactTime);
+    }
+
     void restartEndedGateways()
     {
         int status = 0;
@@ -353,8 +399,12 @@
         co_await standins::sleepFor(RecoveryTime / 2);
         restartEndedGateways();
         const std::string service = round % 2 == 0 ? "archive" : "booking";
-        publishConfig(service);
-        co_await standins::sleepFor(ConfigApplyTime);
+        if (random_() % 2 == 0) {
+            co_await publishConfigAfterRestoration(service);
+        } else {
+            publishConfig(service);
+            co_await standins::sleepFor(ConfigApplyTime);
+        }
         callers_.takeCounts();
         callers_.expectReadService(service);
         callers_.expectNoInterruptions(true);
@@ -384,6 +434,8 @@
     std::vector<std::shared_ptr<TcpProxy>> storeProxies_; // between each gateway and the store
     std::vector<std::unique_ptr<GatewayProcess>> gateways_;
     std::uint64_t configVersion_ = 0;
+    std::uint64_t lastOtherWrite_ = 0;
+    std::string configuredService_; // that the read route of the newest configuration names
 };
 
 }
--- a/soak/object_service.cpp
+++ b/soak/object_service.cpp
@@ -31,6 +31,30 @@
     listener_->start();
 }
 
+struct ObjectService::Copy {
+    std::map<std::string, std::map<std::string, Object>> kinds;
+    std::uint64_t revision = 0;
+};
+
+std::shared_ptr<const ObjectService::Copy> ObjectService::copy() const
+{
+    return std::make_shared<const Copy>(Copy{kinds_, revision_});
+}
+
+void ObjectService::restore(const Copy &copy)
+{
+    kinds_ = copy.kinds;
+    revision_ = copy.revision;
+    std::erase_if(events_, [this](const Event &event) { return event.revision > revision_; });
+    historyStart_ = std::min(historyStart_, revision_);
+    ++era_;
+}
+
+standins::Headers ObjectService::headers() const
+{
+    return {{"Store-Era", std::to_string(era_)}};
+}
+
 void ObjectService::forgetHistory()
 {
     historyStart_ = ++revision_;
@@ -74,7 +98,10 @@
 {
     switch (fault_) {
     case StoreFault::Busy:
-        co_await exchange.respond(503, "{}");
+        co_await exchange.respond(503, "{}", headers());
+        co_return;
+    case StoreFault::Away:
+        exchange.abort();
         co_return;
     case StoreFault::NoAnswer:
         co_await standins::sleepFor(20s);
@@ -93,7 +120,7 @@
 {
     const auto path = exchange.path();
     if (!path.starts_with(Prefix)) {
-        co_await exchange.respond(404, "{}");
+        co_await exchange.respond(404, "{}", headers());
         co_return;
     }
     const auto rest = path.substr(Prefix.size());
@@ -120,7 +147,7 @@
     } else {
         status = 404;
     }
-    co_await exchange.respond(status, body);
+    co_await exchange.respond(status, body, headers());
 }
 
 boost::asio::awaitable<void> ObjectService::watch(Exchange &exchange, std::string kind)
@@ -128,8 +155,12 @@
     const auto from = std::stoull(exchange.queryValue("watch"));
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(exchange.queryValue("wait_ms")));
     while (true) {
-        if (from < historyStart_) {
-            co_await exchange.respond(410, "{}");
+        if (fault_ == StoreFault::Away) {
+            exchange.abort();
+            co_return;
+        }
+        if (from < historyStart_ || from > revision_) {
+            co_await exchange.respond(410, "{}", headers());
             co_return;
         }
         json::array found;
@@ -142,7 +173,7 @@
             json::object body;
             body["events"] = found;
             body["at"] = revision_;
-            co_await exchange.respond(200, json::serialize(body));
+            co_await exchange.respond(200, json::serialize(body), headers());
             co_return;
         }
         co_await standins::sleepFor(10ms);
--- a/soak/object_service.h
+++ b/soak/object_service.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
 enum class StoreFault : std::uint8_t {
     None,
     Busy, // answers 503
+    Away, // closes connections without an answer
     NoAnswer, // accepts requests and never answers
     LosesAnswers, // applies writes, but closes about half of the connections instead of answering
     Slow, // answers after 400 ms
@@ -34,6 +36,11 @@
     {
         fault_ = fault;
     }
+    /// Contents of the store, from which it can be restored.
+    struct Copy;
+    std::shared_ptr<const Copy> copy() const;
+    /// Goes back to @p copy: revisions are given out again, watches from later ones get 410, and the era in all answers rises.
+    void restore(const Copy &copy);
     /// Drops the history, so that watches from an earlier revision have to list again.
     void forgetHistory();
 
@@ -53,6 +60,8 @@
     };
     using Exchange = standins::HttpExchange;
 
+    standins::Headers headers() const;
+
     boost::asio::awaitable<void> handle(Exchange &exchange);
     boost::asio::awaitable<void> handleObjectRequest(Exchange &exchange);
     boost::asio::awaitable<void> watch(Exchange &exchange, std::string kind);
@@ -66,6 +75,7 @@
     std::vector<Event> events_;
     std::uint64_t revision_ = 1;
     std::uint64_t historyStart_ = 0; // oldest revision that a watch can start from
+    std::uint64_t era_ = 1;
     StoreFault fault_ = StoreFault::None;
     std::mt19937_64 random_;
 };
