--- a/src/objects/memory_object_store.cpp
+++ b/src/objects/memory_object_store.cpp
@@ -41,9 +41,9 @@
     }
 }
 
-void MemoryObjectStore::setRestorationHandler(RestorationHandler handler)
+void MemoryObjectStore::setRestorationHandler(const RestorationHandler &handler)
 {
-    onRestoration_ = std::move(handler);
+    onRestoration_ = handler;
 }
 
 std::error_code MemoryObjectStore::admitWrite(const std::string &kind, const std::string &name, const WriteCondition &condition, bool &isResponseLost)
--- a/src/objects/memory_object_store.h
+++ b/src/objects/memory_object_store.h
@@ -34,7 +34,7 @@
     void list(std::string_view kind, ListHandler handler) override;
     void watch(std::string_view kind, std::uint64_t afterRevision, Duration wait, WatchHandler handler) override;
     void listVms(VmListHandler handler) override;
-    void setRestorationHandler(RestorationHandler handler) override;
+    void setRestorationHandler(const RestorationHandler &handler) override;
 
     /// While down, every call fails with PlatformUnavailable and has no effect.
     void setDown(bool isDown);
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -110,7 +110,7 @@
     virtual void listVms(VmListHandler handler) = 0;
     /// @p handler is called when an answer shows that the store came back from an older copy, before the handler of that answer. A store that states
     /// no era never calls it.
-    virtual void setRestorationHandler(RestorationHandler handler)
+    virtual void setRestorationHandler(const RestorationHandler &handler)
     {
         static_cast<void>(handler);
     }
