Send requests through other gateways while a gateway has lost its links to the servers

Cause: a gateway had one way to a server, its own connection. Nothing told a lost link of its own from lost servers. The class of fault: one party's failure to reach others is taken for a failure of the others.

Change: ServerLinkMonitor asks for a check after 700 ms without a byte of any server or three failed connections in a row; ServerLinks connects to a server of each zone, and if none accepts, through other gateways. Only if those reach some is the gateway cut off. Until a direct connection succeeds again it opens its connections through others by HTTP CONNECT (ProxyConnector, ConnectProxy). All that concerns a request stays with the gateway that has received it; the other one forwards bytes, connects only to servers that get requests, and never through a third. A gateway that is cut off drops what it believed of the servers, takes no server for crashed that others reach, and leaves the lease to others. An answer that ends with its proxied connection counts as incomplete.

--- a/src/fleet/replica_view.cpp
+++ b/src/fleet/replica_view.cpp
@@ -78,6 +78,26 @@
     return found == targets_.end() ? None : found->second;
 }
 
+ServingTargets FleetSnapshot::allTargets() const
+{
+    ServingTargets all;
+    for (const auto &[pool, targets] : targets_) {
+        all.insert(all.end(), targets.begin(), targets.end());
+    }
+    return all;
+}
+
+const ServingTarget *FleetSnapshot::findTarget(const Endpoint &address) const
+{
+    for (const auto &[pool, targets] : targets_) {
+        const auto found = std::find_if(targets.begin(), targets.end(), [&address](const ServingTarget &target) { return target.address == address; });
+        if (found != targets.end()) {
+            return &*found;
+        }
+    }
+    return nullptr;
+}
+
 void FleetSnapshot::addReplicas(const ServerMap &servers)
 {
     for (const auto &view : groupByReplica(servers, *config_)) {
--- a/src/fleet/replica_view.h
+++ b/src/fleet/replica_view.h
@@ -63,6 +63,9 @@
     }
     /// Eligible targets of @p service; for services with replicas, the heads of those that run @p model.
     const ServingTargets &targets(const ServiceId &service, const ModelId &model) const;
+    ServingTargets allTargets() const;
+    /// The eligible target at @p address; null when there is none.
+    const ServingTarget *findTarget(const Endpoint &address) const;
     const std::set<ZoneId> &evacuatedZones() const
     {
         return evacuatedZones_;
--- a/src/gateway/backend_connection_pool.cpp
+++ b/src/gateway/backend_connection_pool.cpp
@@ -1,6 +1,6 @@
 #include "gateway/backend_connection_pool.h"
 
-#include <boost/asio/this_coro.hpp>
+#include <utility>
 
 namespace carawaypoint
 {
@@ -8,25 +8,21 @@
 namespace
 {
 
-/// A server that does not acknowledge data for this long counts as unreachable.
-constexpr Duration UserTimeout = seconds(3);
 constexpr std::size_t MaxIdlePerServer = 32;
-/// Received bytes that the parser of a response has not consumed yet. Exceeds the longest header; a chunk header or trailers without end
-/// would otherwise use memory without limit.
-constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
 
 }
 
-BackendConnectionPool::BackendConnectionPool(const Clock &clock)
+BackendConnectionPool::BackendConnectionPool(const Clock &clock, ServerConnector &connector)
     : clock_(clock)
+    , connector_(connector)
 {
 }
 
-ConnectionPtr BackendConnectionPool::takeIdle(const ServingTarget &target)
+std::optional<BackendLink> BackendConnectionPool::takeIdle(const ServingTarget &target)
 {
     const auto found = idle_.find(target.server);
     if (found == idle_.end()) {
-        return nullptr;
+        return std::nullopt;
     }
     auto &kept = found->second;
     while (!kept.empty()) {
@@ -34,52 +30,25 @@
         kept.pop_back();
         const bool isUsable = last.expiresAt > clock_.now() && last.link.serverStartedAt == target.startedAt && !last.link.connection->hasInput();
         if (isUsable) {
-            return last.link.connection;
+            return std::move(last.link);
         }
         last.link.connection->close();
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 asio::awaitable<std::error_code> BackendConnectionPool::acquire(const ServingTarget &target, Duration timeout, BackendLink &link)
 {
-    link.server = target.server;
-    link.serverStartedAt = target.startedAt;
-    link.connection = takeIdle(target);
-    link.isReused = link.connection != nullptr;
-    if (link.isReused) {
+    if (auto idle = takeIdle(target)) {
+        link = *std::move(idle);
+        link.isReused = true;
+        link.isLost = false;
         co_return std::error_code{};
     }
-    co_return co_await connect(target, timeout, link);
-}
-
-asio::awaitable<std::error_code> BackendConnectionPool::connect(const ServingTarget &target, Duration timeout, BackendLink &link)
-{
     link.server = target.server;
     link.serverStartedAt = target.startedAt;
-    link.connection = nullptr;
     link.isReused = false;
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(target.address.address, error);
-    if (error) {
-        co_return std::make_error_code(std::errc::invalid_argument);
-    }
-    const auto executor = co_await asio::this_coro::executor;
-    auto connection = std::make_shared<Connection>(asio::ip::tcp::socket(executor));
-    connection->buffer().max_size(MaxUnparsedBytes);
-    const asio::ip::tcp::endpoint endpoint(address, target.address.port);
-    connection->limit(timeout);
-    const auto [failure] = co_await connection->socket().async_connect(endpoint, UseResult);
-    connection->unlimit();
-    if (failure) {
-        const bool isTimedOut = connection->isTimedOut();
-        connection->close();
-        co_return isTimedOut ? std::make_error_code(std::errc::timed_out) : std::error_code(failure);
-    }
-    connection->socket().set_option(asio::ip::tcp::no_delay(true), error);
-    connection->setUserTimeout(UserTimeout);
-    link.connection = std::move(connection);
-    co_return std::error_code{};
+    co_return co_await connector_.connect(target, timeout, link);
 }
 
 void BackendConnectionPool::release(BackendLink link, Duration keepAlive)
@@ -115,6 +84,15 @@
     idle_.erase(found);
 }
 
+void BackendConnectionPool::closeAllIdle()
+{
+    for (const auto &[server, kept] : std::exchange(idle_, {})) {
+        for (const auto &idle : kept) {
+            idle.link.connection->close();
+        }
+    }
+}
+
 void BackendConnectionPool::closeExpired()
 {
     const auto now = clock_.now();
--- a/src/gateway/backend_load_tracker.cpp
+++ b/src/gateway/backend_load_tracker.cpp
@@ -101,6 +101,23 @@
     backend.backoffUntil = {};
 }
 
+void BackendLoadTracker::recordLinksLost()
+{
+    stalled_.clear();
+    std::vector<ReroutableCall *> calls;
+    for (auto &[server, backend] : backends_) {
+        backend.failures = 0;
+        backend.backoffUntil = {};
+        backend.isStalled = false;
+        // Those that cannot be rerouted may still be answered over connections that live on. They are no evidence of a stall.
+        const auto streams = std::exchange(backend.streams, {});
+        calls.insert(calls.end(), streams.begin(), streams.end());
+    }
+    for (auto *call : calls) {
+        call->reroute();
+    }
+}
+
 void BackendLoadTracker::tick(TimePoint now)
 {
     const bool isLate = lastTick_ != TimePoint{} && now - lastTick_ > 2 * settings_.tick;
--- a/src/gateway/backend_load_tracker.h
+++ b/src/gateway/backend_load_tracker.h
@@ -77,6 +77,9 @@
     void recordStatedLoad(const VmId &server, unsigned requests, TimePoint now);
     void recordFailure(const VmId &server, TimePoint now);
     void recordSuccess(const VmId &server);
+    /// The links of this gateway to all servers are lost: reroutes its streams, and forgets the failures and the silence that it saw, which say nothing
+    /// about the servers.
+    void recordLinksLost();
     /// Detects stalled servers and reroutes their requests. Late ticks do not count, since received data may not be processed yet.
     void tick(TimePoint now);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -186,7 +186,7 @@
     if (now - polledAt_ >= pollInterval() && !isPolling_) {
         pollDaemons();
     }
-    if (mirror_.isWatching() && mayCompeteForLease(now)) {
+    if (mirror_.isWatching() && areServersReachable_ && mayCompeteForLease(now)) {
         lease_.update();
     }
     runReplicaController();
@@ -344,6 +344,14 @@
     });
 }
 
+void FleetControl::setServersReachable(bool areReachable)
+{
+    areServersReachable_ = areReachable;
+    if (!areReachable && !isStopping_) {
+        lease_.release([] {});
+    }
+}
+
 void FleetControl::stop()
 {
     if (!std::exchange(isStopping_, true)) {
--- a/src/gateway/fleet_control.h
+++ b/src/gateway/fleet_control.h
@@ -38,6 +38,8 @@
     void setLoad(FleetLoad load);
     /// A daemon found that no stream of @p head makes progress: probes the members of its replica.
     void onServerStalled(const VmId &head);
+    /// Whether this gateway reaches the backend servers itself. While it does not, it gives no orders and leaves the lease to others.
+    void setServersReachable(bool areReachable);
     /// Releases the lease and gives no more orders. Configuration and servers are followed until the process ends, since requests in progress may
     /// need another server.
     void stop();
@@ -90,6 +92,7 @@
     TimePoint startedAt_{};
     TimePoint polledAt_{};
     TimePoint loadRequestedAt_{};
+    bool areServersReachable_ = true;
     bool isStopping_ = false;
 };
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -5,6 +5,7 @@
 #include "core/time_units.h"
 #include "gateway/forward_call.h"
 #include "gateway/http_fields.h"
+#include "gateway/monitored_request.h"
 #include "gateway/tracked_attempt.h"
 #include "observe/metrics.h"
 
@@ -142,7 +143,10 @@
         co_return;
     }
     BackendLink link;
-    const auto error = co_await context_.pool.connect(target, LostServerTimeout, link);
+    link.server = target.server;
+    link.serverStartedAt = target.startedAt;
+    // Asks other gateways too: the links of this one may be lost instead.
+    const auto error = co_await context_.links.probe(target, LostServerTimeout, link);
     if (!error) {
         context_.pool.release(link, ProbeKeepAlive);
         co_return;
@@ -166,6 +170,7 @@
 asio::awaitable<ForwardCall::AttemptEnd> ForwardCall::exchange(BackendLink &link, ServingTarget target)
 {
     ++sentAttempts_;
+    const MonitoredRequest monitored(context_.links.monitor(), context_.clock);
     link.connection->limit(responseTime());
     asio::steady_timer standbyTimer(context_.io);
     if (route_->kind == CallKind::Idempotent) {
@@ -184,6 +189,7 @@
         }
         co_return AttemptEnd::Failed;
     }
+    context_.links.monitor().recordData(context_.now());
     const auto &header = response->get();
     recordStatedLoad(header, target.server);
     recordStatements(header, target);
@@ -199,7 +205,9 @@
     }
     // The caller may have received part of a successful response, which an error cannot continue.
     const bool isLateError = isHeaderSent_ && header.result_int() / 100 != 2;
-    if (isUnsignedSuccess(header) || isLateError) {
+    // The end of a proxied connection may be that of the gateway in between, so that it completes no response.
+    const bool isEndUncertain = link.isProxied && response->need_eof();
+    if (isUnsignedSuccess(header) || isLateError || isEndUncertain) {
         link.connection->close();
         co_return AttemptEnd::Failed;
     }
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -106,8 +106,9 @@
     activeLink_.reset();
     link.connection->unlimit();
     const bool isLeaving = context_.serverStatements.isLeaving(link.server, link.serverStartedAt);
+    const bool isOtherWay = link.isProxied != context_.links.isCutOff();
     // Bytes after a complete response belong to no request.
-    if (isLeaving || !response.keep_alive() || response.need_eof() || link.connection->buffer().size() > 0 || link.connection->isInterrupted()) {
+    if (isLeaving || isOtherWay || !response.keep_alive() || response.need_eof() || link.connection->buffer().size() > 0 || link.connection->isInterrupted()) {
         link.connection->close();
         return;
     }
@@ -200,6 +201,7 @@
         const auto [error, bytes] = co_await http::async_read_some(link.connection->socket(), link.connection->buffer(), response, UseResult);
         const auto count = space.size() - response.get().body().size;
         if (count > 0) {
+            context_.links.monitor().recordData(context_.now());
             splitter.feed({space.data(), count});
             const auto batch = collectEvents(splitter);
             if (batch.hasData) {
--- a/src/gateway/forward_standby.cpp
+++ b/src/gateway/forward_standby.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/forward_call.h"
 #include "gateway/http_fields.h"
+#include "gateway/monitored_request.h"
 #include "gateway/tracked_attempt.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -75,6 +76,7 @@
         co_return false;
     }
     ++sentAttempts_;
+    const MonitoredRequest monitored(context_.links.monitor(), context_.clock);
     mayHaveRun_ = true;
     link.connection->limit(responseTime());
     bool isRead = co_await sendRequest(link, standby.target);
@@ -85,12 +87,14 @@
         co_await recordStandbyFailure(standby);
         co_return false;
     }
+    context_.links.monitor().recordData(context_.now());
     const auto &header = standby.response->get();
     recordStatedLoad(header, standby.target.server);
     recordStatements(header, standby.target);
     const auto status = header.result_int();
     const bool isFailure = status >= 500 || impliesNotRun(status) || (route_->kind == CallKind::Stream && status / 100 != 2);
-    if (isFailure || isNotRun(header) || isUnsignedSuccess(header)) {
+    const bool isEndUncertain = link.isProxied && standby.response->need_eof();
+    if (isFailure || isNotRun(header) || isUnsignedSuccess(header) || isEndUncertain) {
         co_return false;
     }
     // A server may send the header of a stream before its first event.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include "gateway/fleet_retry_budget.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_detector.h"
+#include "gateway/server_links.h"
 #include "gateway/server_statements.h"
 #include "gateway/target_selector.h"
 #include "gateway/wire_names.h"
@@ -56,6 +57,7 @@
     SteadyClock clock;
     std::mt19937_64 random{std::random_device{}()};
     FleetSnapshotPtr snapshot; // null until the configuration and the servers are known
+    ServerLinks links{clock, random};
     BackendLoadTracker loadTracker;
     TargetSelector targetSelector = makeTargetSelector(loadTracker);
     FleetDemand demand;
@@ -73,7 +75,7 @@
 
     // Destroying io destroys suspended coroutines, whose sessions use the members above.
     asio::io_context io{1};
-    BackendConnectionPool pool{clock};
+    BackendConnectionPool pool{clock, links};
 };
 
 }
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/signal_hold.h"
 #include "core/time_units.h"
+#include "gateway/connect_proxy.h"
 #include "gateway/fleet_control.h"
 #include "gateway/gateway_server.h"
 #include "gateway/load_exchange.h"
@@ -48,6 +49,7 @@
         , platform_(makePlatform(control_.get_executor(), settings_.store))
         , context_(settings_, platform_->wireNames())
         , server_(context_)
+        , proxy_(context_)
         , exchange_(context_, process_)
         , status_(control_)
         , fleet_(control_, settings_, clock_, process_, *platform_, hooks())
@@ -55,6 +57,7 @@
         , drainTimer_(control_)
         , drain_(settings_.drainTime)
     {
+        context_.links.setChangeHandler([this](bool isCutOff) { onServerLinksChanged(isCutOff); });
     }
 
     int run()
@@ -88,6 +91,7 @@
             asio::post(context_.io, [this, peers = std::move(peers)] {
                 context_.retryBudget.setDaemonCount(static_cast<unsigned>(peers.size()) + 1);
                 exchange_.setPeers(peers);
+                context_.links.setPeers(peers, settings_.zone);
             });
         };
         hooks.requestLoad = [this] {
@@ -99,7 +103,7 @@
     bool openListeners()
     {
         return checkListening("callers", settings_.callers, server_.listen(settings_.callers))
-            && checkListening("peer", settings_.peer, exchange_.open(settings_.peer))
+            && checkListening("peer", settings_.peer, exchange_.open(settings_.peer)) && checkListening("proxy", settings_.peer, proxy_.listen(settings_.peer))
             && checkListening("changes", settings_.changes, fleet_.open(settings_.changes))
             && checkListening("readiness", settings_.readiness, status_.listenReadiness(settings_.readiness, context_.names.readinessPath))
             && checkListening("metrics", settings_.metrics, status_.listenMetrics(settings_.metrics));
@@ -122,7 +126,11 @@
     void tickLoadTracker(std::size_t count)
     {
         const auto now = context_.now();
-        context_.loadTracker.tick(now);
+        context_.links.tick(context_.io, context_.snapshot);
+        // Whether servers or the links of this gateway are silent is not known during a check.
+        if (!context_.links.isChecking() || context_.links.isCutOff()) {
+            context_.loadTracker.tick(now);
+        }
         for (const auto &server : context_.loadTracker.takeStalled()) {
             logDecision("routing", server.str(), "stalled", "no stream of the server made progress");
             asio::post(control_, [this, server] { fleet_.onServerStalled(server); });
@@ -144,6 +152,16 @@
         });
     }
 
+    /// Runs on the traffic thread.
+    void onServerLinksChanged(bool isCutOff)
+    {
+        context_.pool.closeAllIdle();
+        if (isCutOff) {
+            context_.loadTracker.recordLinksLost();
+        }
+        asio::post(control_, [this, isCutOff] { fleet_.setServersReachable(!isCutOff); });
+    }
+
     void awaitSignal()
     {
         signals_.async_wait([this](const boost::system::error_code &error, int signal) {
@@ -182,7 +200,10 @@
         drain_.start(clock_.now());
         status_.setReady(false);
         logLine(LogLevel::Info, "graceful stop started", {{"requests_in_progress", requestsInProgress_.load()}});
-        asio::post(context_.io, [this] { server_.drain(); });
+        asio::post(context_.io, [this] {
+            server_.drain();
+            proxy_.drain();
+        });
         fleet_.stop();
         awaitDrain();
     }
@@ -216,7 +237,7 @@
     void stopIfIdle()
     {
         asio::post(context_.io, [this] {
-            if (server_.stopIfIdle()) {
+            if (!proxy_.isBusy() && server_.stopIfIdle()) {
                 asio::post(control_, [this] { control_.stop(); });
             }
         });
@@ -231,6 +252,7 @@
     std::unique_ptr<FleetPlatform> platform_;
     GatewayContext context_;
     GatewayServer server_;
+    ConnectProxy proxy_;
     LoadExchange exchange_;
     StatusServer status_;
     FleetControl fleet_;
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -108,9 +108,12 @@
         return;
     }
     store_.put(kind_, ObjectName, encodeLease(write->record), WriteCondition::ifVersion(write->expectedVersion),
-               [done = std::move(done)](std::error_code error, std::uint64_t) {
+               [this, done = std::move(done)](std::error_code error, std::uint64_t version) {
                    if (error) {
                        logLine(LogLevel::Warning, "cannot release the lease; it lapses after its timeout", {{"error", error.message()}});
+                       lease_.onWriteFailed();
+                   } else {
+                       lease_.onWriteSucceeded(version);
                    }
                    done();
                });
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -39,6 +39,7 @@
     {"carawaypoint_server_statements_total", "statement", "Responses in which a backend server states that it leaves or accepts no requests for a time"},
     {"carawaypoint_unread_requests_total", "code", "Requests that a gateway refused before it had read them"},
     {"carawaypoint_unreadable_objects_total", "kind", "Objects of the store that were left out because they cannot be read, each revision once"},
+    {"carawaypoint_proxied_connections_total", "status", "Connections to servers that other gateways asked for, by the status of the answer"},
     {"carawaypoint_store_eras_total", "change",
      "Times that the store came back from an older copy (risen) or was behind a known revision (receded), and its answers from an ended era (outdated) or with "
      "an invalid era (malformed)"},
@@ -56,6 +57,7 @@
     {"carawaypoint_model_requests", "model", "Requests in progress at the model's replicas, of all daemons; at the holder of the lease"},
     {"carawaypoint_model_unmet_requests", "model", "Requests that would also be in progress if none had been rejected; at the holder of the lease"},
     {"carawaypoint_quarantined_traits", "", "Parts of prompts, or sets of them, whose requests are refused since they crash backend servers"},
+    {"carawaypoint_server_links_lost", "", "1 while no server accepts connections from this gateway and it sends requests through others"},
 };
 // In the order of HistogramMetric.
 constexpr MetricInfo HistogramInfos[] = {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -32,6 +32,7 @@
     ServerStatements, // statement: leaving, deferred, malformed
     UnreadRequests, // code: name of the result code
     UnreadableObjects, // kind
+    ProxiedConnections, // status: of the answer to a gateway that asked for a connection to a server
     StoreEras, // change: risen, receded, outdated, malformed
 };
 
@@ -48,6 +49,7 @@
     ModelRequests, // model
     ModelUnmetRequests, // model
     QuarantinedTraits, // no label
+    ServerLinksLost, // no label
 };
 
 /// Histograms in seconds. The comment names the label and, after a colon, its values.
--- a/tests/gateway/fleet_control_test.cpp
+++ b/tests/gateway/fleet_control_test.cpp
@@ -111,4 +111,23 @@
     EXPECT_TRUE(runUntil(isRegistered));
 }
 
+// Guards against a fleet without orders while the holder of the lease has lost its links to the servers and renews the lease all the same.
+TEST_F(FleetControlTest, daemonWithoutLinksToServersLeavesTheLeaseToOthers)
+{
+    const auto holder = [this] {
+        MemberId name;
+        store_.fetch("daemons", LeaseKeeper::ObjectName, [&name](std::error_code, const StoredObject &object) { name = decodeLease(object.value).holder; });
+        io_.poll();
+        return name;
+    };
+    control_.start();
+    ASSERT_TRUE(runUntil([&] { return holder().str() == "self"; }));
+    control_.setServersReachable(false);
+    EXPECT_TRUE(runUntil([&] { return holder().isEmpty(); }, seconds(1)));
+    runUntil([] { return false; }, seconds(2));
+    EXPECT_TRUE(holder().isEmpty());
+    control_.setServersReachable(true);
+    EXPECT_TRUE(runUntil([&] { return holder().str() == "self"; }));
+}
+
 }
