Ask other gateways only once whether a cut has begun

A check during a cut asked other gateways again, which decides nothing, and a gateway that could not reach a server that is down was taken for one that does not work.

--- a/src/gateway/proxy_connector.cpp
+++ b/src/gateway/proxy_connector.cpp
@@ -97,7 +97,10 @@
             link.connection->close();
             link.connection = nullptr;
         }
-        failedAt_[peer.id] = clock_.now();
+        // Otherwise the gateway works and has not reached the server.
+        if (error != std::errc::connection_refused) {
+            failedAt_[peer.id] = clock_.now();
+        }
     }
     co_return error;
 }
--- a/src/gateway/server_link_monitor.h
+++ b/src/gateway/server_link_monitor.h
@@ -15,7 +15,7 @@
 /// What a check of the links to the servers has found.
 enum class LinkCheckResult : std::uint8_t {
     Sound, // a server accepts connections from this gateway
-    Lost, // no server does, but one accepts connections from another gateway
+    Lost, // no server does, but one accepts or, when the cut began, accepted connections from another gateway
     Unknown, // no server accepts connections from any gateway that was asked
 };
 
--- a/src/gateway/server_links.cpp
+++ b/src/gateway/server_links.cpp
@@ -98,6 +98,10 @@
     auto result = LinkCheckResult::Sound;
     bool isReached = co_await canReachAny(*direct_, targets);
     if (!isReached) {
+        result = LinkCheckResult::Lost;
+    }
+    // Other gateways were asked when the cut began.
+    if (!isReached && !monitor_.isCutOff()) {
         isReached = co_await canReachAny(proxies_, targets);
         result = isReached ? LinkCheckResult::Lost : LinkCheckResult::Unknown;
     }
