Use no idle connection to the store after one has timed out

What would be seen (CONFIG): a configuration that is not in force for more than three seconds, when connections to the store go silent for good: a call that had timed out was followed by one on the next silent connection of the pool.

Change: a timeout on a kept connection closes the other idle ones to the same address.

Evidence: HttpClientTest.usesNoIdleConnectionAfterOneHasTimedOut opens no fourth connection without the change and does with it.

--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -166,6 +166,10 @@
                 stream = nullptr;
                 error = co_await self->sendOnce(*pending, stream, answer, isReusable);
             }
+            // Connections that a fault on the way has silenced are silent together.
+            if (error == std::errc::timed_out && isFromPool) {
+                self->endpointPools_[pending->endpoint].idle.clear();
+            }
             if (!error && isReusable) {
                 reusableStream = stream;
             }
--- a/tests/core/http_client_test.cpp
+++ b/tests/core/http_client_test.cpp
@@ -47,6 +47,27 @@
     EXPECT_EQ(server.connections, 1);
 }
 
+// Guards against a call that times out on one silent connection after the other: idle connections go silent together, and a configuration was
+// not seen for more than three seconds.
+TEST_F(HttpClientTest, usesNoIdleConnectionAfterOneHasTimedOut)
+{
+    const auto client = HttpClient::Builder(context.get_executor()).maxConnections(3).build();
+    send(*client, {});
+    send(*client, {});
+    send(*client, {});
+    runUntil(3);
+    ASSERT_EQ(server.connections, 3);
+    script = "";
+    HttpRequest silent;
+    silent.timeout = milliseconds(50);
+    send(*client, silent);
+    runUntil(4);
+    ASSERT_EQ(errors.back(), std::errc::timed_out);
+    send(*client, silent);
+    runUntil(5);
+    EXPECT_EQ(server.connections, 4) << "a new connection";
+}
+
 // Guards against bytes that are no answer and are taken for one, as that of a backend server to an order or a probe.
 TEST_F(HttpClientTest, reportsMalformedHeadsAsErrors)
 {
