--- a/review/rig-3/http.hh
+++ b/review/rig-3/http.hh
@@ -204,12 +204,12 @@
         buffer_.erase(0, size);
         return true;
     }
-    /// Ends the connection with a reset.
+    /// Makes the connection end with a reset, once its thread has returned from what it receives.
     void reset()
     {
         linger hard{1, 0};
         setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
-        ::shutdown(fd_, SHUT_RDWR);
+        ::shutdown(fd_, SHUT_RD);
     }
     void close()
     {
