--- a/review/rig-3/deadly_part.cc
+++ b/review/rig-3/deadly_part.cc
@@ -42,6 +42,7 @@
     for (int count = 0; !isOver; ++count) {
         const auto id = "sound" + std::to_string(number) + "-" + std::to_string(count);
         const auto parts = shared + "b" + std::to_string(number * 1000 + count) + ":300";
+        record.write("client sends " + id);
         const auto outcome = callStream(gateways.host(number % 3), id, parts, "m" + std::to_string(static_cast<unsigned>(count) % models));
         recordOutcome(record, id, outcome);
         const bool isRefused = outcome.status == 503 || outcome.status == 429;
@@ -111,6 +112,7 @@
         clients.emplace_back([&, number] {
             const auto id = "deadly-" + std::to_string(number);
             const auto parts = shared + DeadlyPart + ":200,c" + std::to_string(number) + ":100";
+            record.write("client sends " + id);
             recordOutcome(record, id, callStream(gateways.host(number % 3), id, parts, "m" + std::to_string(static_cast<unsigned>(number) % models)));
         });
     };
--- a/review/rig-3/runners.hh
+++ b/review/rig-3/runners.hh
@@ -401,19 +401,22 @@
         const auto parts = "," + request.header("Carawaypoint-Prompt-Prefix");
         const bool isDeadly = !deadlyPart_.empty() && parts.find("," + deadlyPart_ + ":") != std::string::npos;
         std::uint64_t life = 0;
+        std::uint64_t epoch = 0;
         {
             const std::lock_guard lock(mutex_);
-            arrivals_.push_back({record_.seconds(), id, isDeadly});
             const bool isHead = runner.group && runner.group->rank == 0;
             if (!isHead || runner.group->state != "open") {
                 const auto status = isHead ? 503 : 421;
+                record_.write("runner " + runner.id + " turns " + id + " away with " + std::to_string(status));
                 return socket.send(response(status, "{}", echo + "Carawaypoint-Not-Executed: 1\r\n"));
             }
+            arrivals_.push_back({record_.seconds(), id, isDeadly});
+            record_.write("runner " + runner.id + " runs " + id);
             life = runner.lives;
+            epoch = runner.group->epoch;
             ++runs_[id];
             ++runner.running;
         }
-        const auto epoch = runner.group->epoch;
         const bool isKept = answer(runner, socket, request, id, echo, isDeadly, life, epoch);
         const std::lock_guard lock(mutex_);
         if (runner.lives == life && --runner.running == 0 && runner.group && runner.group->state == "closing") {
